Set paces ahead from loads and learned harm; place filling work by what it gains

The leader halted only after 0.8 s over a target.

Now the headroom is target over tail, in which load and harm add up. A Kalman filter follows the load of each serving step over the reports of all its tasks. Harm is fitted from changes of the neighbours between two reports; a fit against the level alone confirmed its own errors in the emulator. Paces are set ahead so that the work is worth more than the risk to its neighbours. Filling tasks wait for a worker that they harm little, leave workers to images that harm most others, and move when they are halted. Jobs that can't be in time any more come last. Jobs that end come before lasting ones of the same priority. Memory is kept for free processors.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -45,9 +45,12 @@
 
 	recovery     recovery
 	interference interference
+	opportunity  opportunity
 	commits      committer
 	out          []Action
 	pending      map[job.Queue]int
+	// memoryPerCPU is the memory, in bytes for a thousandth of a core, that tasks which neither fill nor last ask for.
+	memoryPerCPU float64
 	// changed is set when a task became ready or capacity became free.
 	changed bool
 	// nextPass is when tasks may be placed again.
@@ -104,6 +107,7 @@
 	d.checkWorkers(now)
 	d.checkStalled(now)
 	d.evacuate(now)
+	d.relocate(now)
 	d.Settle(now)
 }
 
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -21,6 +21,10 @@
 	// shown is the phase that the store holds.
 	shown job.Phase
 	begun bool
+	// late means that the job can't be completed by its due time any more, and value is what its work counts for, both as
+	// of the last pass of placing.
+	late  bool
+	value float64
 	// ended is when the final phase was committed.
 	ended time.Time
 	dirty bool
@@ -43,6 +47,8 @@
 	blocked int
 	// next are the steps that wait for this one.
 	next []*step
+	// load is that of the tasks of a serving step.
+	load loadTrack
 }
 
 // task is one task and what is known of its runs.
@@ -84,7 +90,8 @@
 		d.final = append(d.final, state)
 		return
 	}
-	state.due = d.dueTime(&j, now)
+	state.due, state.value = d.dueTime(&j, now), 1
+	d.noteSizes(&j)
 	d.insert(state)
 	d.pending[j.Queue]++
 	if j.Times == 0 {
@@ -97,6 +104,24 @@
 	d.changed = true
 }
 
+// memoryRate is the weight of a new job in the mean of the memory that tasks need for their processors.
+const memoryRate = 0.05
+
+// noteSizes keeps how much memory tasks need for their processors.
+func (d *Dispatcher) noteSizes(j *job.Job) {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		if s.Fills || s.Lasting || s.Size.CPUMillis == 0 {
+			continue
+		}
+		ratio := float64(s.Size.MemoryBytes) / float64(s.Size.CPUMillis)
+		if d.memoryPerCPU == 0 {
+			d.memoryPerCPU = ratio
+		}
+		d.memoryPerCPU += memoryRate * (ratio - d.memoryPerCPU)
+	}
+}
+
 // dueTime returns when a job should be completed. The time of acceptance is another entry's time of day, so it counts
 // only within a minute of now.
 func (d *Dispatcher) dueTime(j *job.Job, now time.Time) time.Time {
@@ -109,8 +134,8 @@
 	return accepted.Add(time.Duration(slack*float64(j.Chain())) + r.TargetLatency)
 }
 
-// insert keeps the jobs ordered by priority and then by due time. Lasting jobs come first within a priority: they serve
-// users from the moment they run.
+// insert keeps the jobs ordered by priority and then by due time. Lasting jobs come last within a priority: they take
+// room for long, and a job that ends soon loses more by waiting for it.
 func (d *Dispatcher) insert(j *jobState) {
 	at, _ := slices.BinarySearchFunc(d.order, j, func(a, b *jobState) int { return d.compare(a, b) })
 	d.order = slices.Insert(d.order, at, j)
@@ -120,7 +145,7 @@
 	if pa, pb := d.routes[a.Queue].Priority, d.routes[b.Queue].Priority; pa != pb {
 		return pa - pb
 	}
-	if la, lb := a.Lasting(), b.Lasting(); la != lb {
+	if la, lb := b.Lasting(), a.Lasting(); la != lb {
 		if la {
 			return -1
 		}
@@ -193,6 +218,20 @@
 	return o.steps[key.Step].tasks[key.Index]
 }
 
+// working reports whether a task of the job is on a worker.
+func (j *jobState) working() bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if len(t.runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) begin(j *jobState) {
 	if !j.begun {
 		j.begun = true
--- a/internal/coordination/dispatch/interference.go
+++ b/internal/coordination/dispatch/interference.go
@@ -11,32 +11,30 @@
 	"github.com/jujubearch/jujubearch/internal/state/model"
 )
 
-// The headroom of a serving task is the logarithm of its target over its tail: 0 is a tail at its target. It falls in
-// a straight line with the processors that filling tasks beside it use, by a slope for each pair of images. The slopes
-// are fitted by least squares over the reports of all tasks of a serving image, with older reports counting less.
+// A filling task takes headroom from each serving task on its worker, in proportion to the share of the worker's
+// processors that it uses, by a slope for each pair of images. The slopes are fitted by least squares over the reports of
+// all tasks of a serving image, with older reports counting less.
 const (
-	// initialHeadroom is the headroom of a serving task before its first report: a tail at a third of its target.
-	initialHeadroom = 1.1
-	// initialHarm is the slope of a pair that was never seen, per tenth of a worker's processors. Pairs that harm have
-	// slopes of 0.5 to 1, harmless ones of about 0.1.
-	initialHarm = 0.2
-	// priorWeight is the number of reports that the initial slope counts for.
-	priorWeight = 4
+	// initialHarm is the slope of a pair that was never seen, as a loss of headroom for all processors of a worker, and
+	// initialHarmSD how far it may be off. Images that share little have slopes below 2, those that share much of 8 to 10.
+	initialHarm   = 2
+	initialHarmSD = 3
 	// keepPerReport is the weight that older reports keep with each new one: about 2,000 of them count.
 	keepPerReport = 0.9995
-	// maxHeadroom cuts the headroom of idle tasks, whose tails are too short to tell anything, and minHeadroom that of
-	// tails that are cut off.
-	maxHeadroom = 1.6
-	minHeadroom = -2.5
-	// loadRate is the share of an error that one report corrects in the headroom of a task by itself, which follows
-	// its load.
-	loadRate = 0.25
-	// figureSpan is the time that a report describes.
-	figureSpan = 500 * time.Millisecond
-	// sharesPerWorker scales the processors of filling tasks: 1 is a tenth of the worker's.
-	sharesPerWorker = 10
 	// refitInterval is the time between two fits of the slopes.
 	refitInterval = 500 * time.Millisecond
+	// lossNoise is the relative error of a loss: the use of filling tasks is a rough figure as well.
+	lossNoise = 0.3
+	// leastChange is the change of the use of a worker's processors below which two reports say nothing of harm, and
+	// maxReportGap the time between them beyond which the load may have changed as well.
+	leastChange  = 0.01
+	maxReportGap = 1500 * time.Millisecond
+	// levelDoubt multiplies the variance of a comparison with the load: its errors last, and many reports share them.
+	levelDoubt = 16
+	// offsetRate is the share of an error that one report corrects in the offset of a task.
+	offsetRate = 0.3
+	// maxOffset bounds the offset of a task.
+	maxOffset = 1.0
 )
 
 // interference is what was learned about pairs of images.
@@ -49,115 +47,123 @@
 
 // harmModel is the fit for one serving image.
 type harmModel struct {
-	// columns numbers the filling images; column 0 is the headroom with nothing beside it.
+	// columns numbers the filling images.
 	columns map[string]int
 	// squares and products are the weighted sums of the normal equations.
 	squares  [][]float64
 	products []float64
-	slopes   []float64
+	// slopes is their solution and deviations its standard errors.
+	slopes, deviations []float64
 }
 
-func newHarmModel() *harmModel {
-	m := &harmModel{columns: make(map[string]int)}
-	m.grow()
-	m.squares[0][0], m.products[0] = priorWeight, priorWeight*initialHeadroom
-	m.slopes[0] = initialHeadroom
-	return m
-}
-
-// grow adds a column.
-func (m *harmModel) grow() {
-	for i := range m.squares {
-		m.squares[i] = append(m.squares[i], 0)
-	}
-	m.squares = append(m.squares, make([]float64, len(m.squares)+1))
-	m.products = append(m.products, 0)
-	m.slopes = append(m.slopes, 0)
-}
+func newHarmModel() *harmModel { return &harmModel{columns: make(map[string]int)} }
 
+// column returns the number of a filling image, which is added if it is new.
 func (m *harmModel) column(filling string) int {
 	if c, known := m.columns[filling]; known {
 		return c
 	}
 	c := len(m.products)
 	m.columns[filling] = c
-	m.grow()
-	m.squares[c][c], m.products[c] = priorWeight, -priorWeight*initialHarm
-	m.slopes[c] = -initialHarm
+	for i := range m.squares {
+		m.squares[i] = append(m.squares[i], 0)
+	}
+	m.squares = append(m.squares, make([]float64, c+1))
+	m.products = append(m.products, 0)
+	m.slopes = append(m.slopes, initialHarm)
+	m.deviations = append(m.deviations, initialHarmSD)
 	return c
 }
 
-// of returns the slope of a pair, as a loss of headroom per tenth of a worker's processors.
-func (i *interference) of(serving, filling string) float64 {
+// model returns the fit for a serving image.
+func (i *interference) model(serving string) *harmModel {
 	m, known := i.models[serving]
 	if !known {
-		return initialHarm
+		m = newHarmModel()
+		i.models[serving] = m
+	}
+	return m
+}
+
+// of returns the slope of a pair and its standard error.
+func (i *interference) of(serving, filling string) (slope, deviation float64) {
+	m, known := i.models[serving]
+	if !known {
+		return initialHarm, initialHarmSD
 	}
 	c, known := m.columns[filling]
 	if !known {
-		return initialHarm
+		return initialHarm, initialHarmSD
 	}
-	return max(0, -m.slopes[c])
+	return max(0, m.slopes[c]), m.deviations[c]
 }
 
-// add takes in a report: the headroom and what each filling image used.
-func (m *harmModel) add(headroom float64, used map[string]float64) {
-	features := make([]float64, 1, len(m.products)+len(used))
-	features[0] = 1
-	for _, filling := range slices.Sorted(maps.Keys(used)) {
-		x, c := used[filling], m.column(filling)
-		for len(features) <= c {
-			features = append(features, 0)
-		}
-		features[c] = x
+// loss returns the headroom that the filling images of a worker take from a serving image, and the variance of that.
+func (i *interference) loss(serving string, used map[string]float64) (loss, variance float64) {
+	for filling, x := range used {
+		slope, deviation := i.of(serving, filling)
+		loss += slope * x
+		variance += deviation * deviation * x * x
 	}
+	return loss, variance
+}
+
+// add takes in a report: the headroom that was lost, the variance of its error, and what each filling image used.
+func (m *harmModel) add(lost, variance float64, used map[string]float64) {
 	for i := range m.squares {
 		for j := range m.squares[i] {
 			m.squares[i][j] *= keepPerReport
 		}
 		m.products[i] *= keepPerReport
 	}
-	for i, x := range features {
-		if x == 0 {
-			continue
-		}
-		for j, y := range features {
-			m.squares[i][j] += x * y
+	fillings := slices.Sorted(maps.Keys(used))
+	for _, a := range fillings {
+		m.column(a)
+	}
+	for _, a := range fillings {
+		for _, b := range fillings {
+			m.squares[m.columns[a]][m.columns[b]] += used[a] * used[b] / variance
 		}
-		m.products[i] += x * headroom
+		m.products[m.columns[a]] += used[a] * lost / variance
 	}
 }
 
-// ridge keeps the equations solvable when a filling image was not seen for long.
-const ridge = 0.05
-
 // fit solves the normal equations; the slopes stay as they are when they can't be solved.
 func (m *harmModel) fit() {
 	n := len(m.products)
+	if n == 0 {
+		return
+	}
+	const prior = 1.0 / (initialHarmSD * initialHarmSD)
 	a := mat.NewSymDense(n, nil)
+	b := mat.NewVecDense(n, nil)
 	for i := range n {
 		for j := i; j < n; j++ {
 			a.SetSym(i, j, m.squares[i][j])
 		}
-		a.SetSym(i, i, m.squares[i][i]+ridge)
+		a.SetSym(i, i, m.squares[i][i]+prior)
+		b.SetVec(i, m.products[i]+prior*initialHarm)
 	}
 	var factor mat.Cholesky
 	if !factor.Factorize(a) { //nolint:misspell // the library spells it so
 		return
 	}
 	var solved mat.VecDense
-	if err := factor.SolveVecTo(&solved, mat.NewVecDense(n, m.products)); err != nil {
+	var inverse mat.SymDense
+	if factor.SolveVecTo(&solved, b) != nil || factor.InverseTo(&inverse) != nil {
 		return
 	}
-	copy(m.slopes, solved.RawVector().Data)
+	for i := range n {
+		m.slopes[i], m.deviations[i] = solved.AtVec(i), math.Sqrt(inverse.At(i, i))
+	}
 }
 
-// share returns what a filling task of a size takes of a worker at full pace, in tenths of its processors.
+// share returns what a filling task of a size takes of a worker's processors at full pace.
 func share(size model.Resources, w *worker) float64 {
 	if w.Capacity.CPUMillis <= 0 {
 		return 0
 	}
-	return sharesPerWorker * float64(size.CPUMillis) / float64(w.Capacity.CPUMillis)
+	return float64(size.CPUMillis) / float64(w.Capacity.CPUMillis)
 }
 
 // pressed is a filling task that has ended and that the next report still covers in part.
@@ -174,7 +180,7 @@
 	}
 }
 
-// used returns what a filling task used by the last report, in tenths of its worker's processors.
+// used returns what a filling task used by the last report, as a share of its worker's processors.
 func (r *run) used() float64 {
 	return share(model.Resources{CPUMillis: int64(r.figure)}, r.worker)
 }
@@ -183,7 +189,7 @@
 func (w *worker) usedByImage(now time.Time) map[string]float64 {
 	used := make(map[string]float64)
 	for _, r := range w.list {
-		if r.task != nil && r.task.step.Fills {
+		if r.task != nil && r.task.step.Fills && r.figure > 0 {
 			used[r.task.step.Image] += r.used()
 		}
 	}
@@ -198,29 +204,18 @@
 	return used
 }
 
-// serving reports whether a run is a serving task at work.
-func (r *run) serving() bool {
-	return r.task != nil && r.phase == running && r.task.step.TailTarget > 0 && r.percent >= fullPace
-}
-
-// reportedHeadroom returns the headroom of the newest report, and false when there is none.
-func (r *run) reportedHeadroom() (float64, bool) {
-	if r.figure <= 0 {
-		return 0, false
-	}
-	target := float64(r.task.step.TailTarget) / float64(time.Millisecond)
-	return min(max(math.Log(target/r.figure), minHeadroom), maxHeadroom), true
-}
-
 // learn takes in the reports of a worker's serving tasks.
 func (d *Dispatcher) learn(now time.Time, w *worker) {
 	used := w.usedByImage(now)
+	change := changeOf(w.usedBefore, used)
+	w.usedBefore = used
 	for _, r := range w.list {
 		if !r.serving() {
 			continue
 		}
 		if reported, ok := r.reportedHeadroom(); ok {
-			d.learnFrom(r, reported, used)
+			d.learnHarm(now, r, reported, used, change)
+			d.learnLoad(now, r, reported, used)
 		}
 	}
 	if now.Sub(d.interference.fitted) > refitInterval {
@@ -231,89 +226,65 @@
 	}
 }
 
-func (d *Dispatcher) learnFrom(r *run, reported float64, used map[string]float64) {
-	image := r.task.step.Image
-	m, known := d.interference.models[image]
-	if !known {
-		m = newHarmModel()
-		d.interference.models[image] = m
+// changeOf returns by how much the use of each filling image has changed, or nil if none has.
+func changeOf(before, after map[string]float64) map[string]float64 {
+	var change map[string]float64
+	note := func(image string) {
+		if by := after[image] - before[image]; math.Abs(by) > leastChange {
+			if change == nil {
+				change = make(map[string]float64)
+			}
+			change[image] = by
+		}
 	}
-	m.add(reported, used)
-	alone := reported
-	for filling, x := range used {
-		alone += d.interference.of(image, filling) * x
+	for image := range before {
+		note(image)
 	}
-	if !r.observed {
-		r.observed, r.alone = true, m.slopes[0]
+	for image := range after {
+		if _, known := before[image]; !known {
+			note(image)
+		}
 	}
-	r.alone += loadRate * (min(alone, maxHeadroom) - r.alone)
+	return change
 }
 
-// expectedAlone returns the headroom of a serving task with nothing beside it.
-func (d *Dispatcher) expectedAlone(r *run) float64 {
-	if r.observed {
-		return r.alone
+// learnHarm compares a report with what the load alone would give, and with the report before: a change of the neighbours
+// shows at once, while the load of the task, which is not known exactly, has hardly moved.
+func (d *Dispatcher) learnHarm(now time.Time, r *run, reported float64, used, change map[string]float64) {
+	before, since := r.reported, now.Sub(r.reportedAt)
+	r.reported, r.reportedAt = reported, now
+	load := &r.task.step.load
+	if !load.known() {
+		return
 	}
-	return initialHeadroom
-}
-
-// outlook is what is expected of a worker within one pass of placing.
-type outlook struct {
-	spare   float64
-	serving []expectation
-}
-
-// expectation is the headroom expected of a serving task with all that is beside it now.
-type expectation struct {
-	image    string
-	headroom float64
-}
-
-// outlookOf works out the outlook of a worker.
-func (d *Dispatcher) outlookOf(w *worker) *outlook {
-	o := &outlook{spare: w.spareCores()}
-	filling := make(map[string]float64)
-	for _, r := range w.list {
-		if r.task != nil && r.task.step.Fills && r.phase != stopping {
-			filling[r.task.step.Image] += share(r.task.step.Size, w) * float64(max(r.paced, 0)) / fullPace
-		}
+	m := d.interference.model(r.task.step.Image)
+	if len(used) > 0 {
+		alone := load.ahead(now.Add(-figureSpan/2), 0)
+		m.add(alone-max(reported, leastHeadroom), levelDoubt*(noiseOf(reported)+load.levelVar), used)
 	}
-	for _, r := range w.list {
-		if r.task == nil || r.task.step.TailTarget <= 0 || r.phase == stopping {
-			continue
-		}
-		e := expectation{image: r.task.step.Image, headroom: d.expectedAlone(r)}
-		for image, x := range filling {
-			e.headroom -= d.interference.of(e.image, image) * x
-		}
-		o.serving = append(o.serving, e)
+	if change == nil || before == 0 || since > maxReportGap || min(before, reported) < leastHeadroom {
+		return
 	}
-	return o
+	m.add(before+load.trend*since.Seconds()-reported, noiseOf(before)+noiseOf(reported), change)
 }
 
-// addedRisk returns by how much a further filling task raises the risk that serving tasks of a worker go over their
-// targets. It is 0 where all keep ample headroom.
-func (d *Dispatcher) addedRisk(o *outlook, w *worker, filling *step) float64 {
-	added := share(filling.Size, w)
-	total := 0.0
-	for _, e := range o.serving {
-		total += risk(e.headroom-d.interference.of(e.image, filling.Image)*added) - risk(e.headroom)
-	}
-	return total
+// noiseOf returns the variance of the error of a reported headroom.
+func noiseOf(reported float64) float64 {
+	noise := tailNoise * max(reported, 1)
+	return noise * noise
 }
 
-// ampleHeadroom is the headroom above which the swings of its load do not take a serving task over its target.
-const ampleHeadroom = 0.7
-
-// risk grows with the square of the headroom that is missing; what lies far over the target counts in a straight line.
-func risk(headroom float64) float64 {
-	missing := ampleHeadroom - headroom
-	switch {
-	case missing <= 0:
-		return 0
-	case missing <= 1:
-		return missing * missing
-	default:
-		return 2*missing - 1
+// learnLoad corrects the load of a step by what is known of the harm, and the offset of the task by what neither explains.
+func (d *Dispatcher) learnLoad(now time.Time, r *run, reported float64, used map[string]float64) {
+	load := &r.task.step.load
+	loss, lossVar := d.interference.loss(r.task.step.Image, used)
+	measured := now.Add(-figureSpan / 2)
+	alone := load.ahead(measured, 0)
+	if reported < leastHeadroom {
+		// The queue is saturated: how far beyond its capacity the load is does not show.
+		reported = min(reported, max(alone-loss, -maxOffset))
 	}
+	off := reported - (alone - loss)
+	r.offset = min(max(r.offset+offsetRate*(off-r.offset), -maxOffset), maxOffset)
+	load.observe(measured, reported+loss, noiseOf(reported)+lossVar+lossNoise*lossNoise*loss*loss)
 }
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -49,13 +49,16 @@
 	percent      int
 	progressed   time.Time
 	figure       float64
-	// alone is the headroom of a serving task with nothing beside it; it counts once observed is true.
-	alone    float64
-	observed bool
+	// reported is the headroom of the newest report of a serving task and reportedAt when that was; 0 before the first.
+	reported   float64
+	reportedAt time.Time
+	// offset is by how much the headroom of a serving task differs from what its load and its neighbours explain.
+	offset float64
 	// overSince is since when a serving task has reported a tail over its target; zero while it has not.
 	overSince time.Time
-	// paced is the pace that the worker was last told.
+	// paced is the pace that the worker was last told, halted when that became 0.
 	paced  int
+	halted time.Time
 	saved  job.Checkpoint
 	placed time.Time
 }
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
@@ -9,47 +8,25 @@
 )
 
 const (
-	// patience is how long a filling task waits for a worker with processor time to spare before it goes to any worker
-	// with memory for it. Waiting tasks must not see room for 3 s.
+	// patience is how long a job of filling tasks that has nothing running waits for a worker on which a task can work
+	// before it goes to any worker with memory for it. Waiting jobs must not see room for 3 s.
 	patience = 3000 * time.Millisecond
-	// servingLoad is the share of its declared processors that a serving task is taken to use. Its reports hold the
-	// tail and not the use.
-	servingLoad = 0.5
-	// acceptedRisk is the risk to serving tasks that a filling task may add without having waited.
-	acceptedRisk = 0.05
-	// riskWeight, in cores, ranks workers by the risk to serving tasks before the cores that they have to spare.
-	riskWeight = 100
-	// memoryReserve is the share of a worker's memory that filling tasks leave to others.
-	memoryReserve = 0.12
-	// leastSpare is the share of its processors that a filling task must find unused.
-	leastSpare = 0.6
-	// sameImageBonus and otherImagePenalty, in cores, gather serving tasks of one image on the same workers: what fills
-	// beside them then has fewer images to be harmless to. Among such workers the fullest is taken, so that some stay
-	// without serving tasks and take what harms all of them.
-	sameImageBonus    = 30
-	otherImagePenalty = 10
 	// passInterval is the least time after a pass that left tasks without a worker: with a backlog, a pass looks at many
 	// tasks, and each end of a run asks for one.
 	passInterval = 20 * time.Millisecond
 	// maxFailedSteps ends a pass: what comes later in the order is less urgent.
 	maxFailedSteps = 40
-	// suspectPenalty, in cores, keeps work from workers whose last runs failed, as long as another has room.
-	suspectPenalty = 1000
-	// remotePenalty, in cores, makes a rack without the data worse than a rack with it.
-	remotePenalty = 100
 )
 
 // place starts ready tasks in the order of their jobs.
 func (d *Dispatcher) place(now time.Time) {
+	d.estimateOpportunity(now)
 	p := d.newPass(now)
 	for _, j := range d.order {
-		if p.failed >= maxFailedSteps {
-			break
-		}
-		if d.mayPlace(j) {
-			p.job(j)
-		}
+		j.appraise(now)
 	}
+	p.jobs(false)
+	p.jobs(true)
 	if p.failed > 0 {
 		d.nextPass = now.Add(passInterval)
 	}
@@ -77,6 +54,19 @@
 	return &pass{d: d, now: now, outlooks: make(map[*worker]*outlook)}
 }
 
+// jobs places the tasks of the jobs that are late already, or of those that are not: a late job gains less from workers
+// than one that can still be in time.
+func (p *pass) jobs(late bool) {
+	for _, j := range p.d.order {
+		if p.failed >= maxFailedSteps {
+			return
+		}
+		if j.late == late && p.d.mayPlace(j) {
+			p.job(j)
+		}
+	}
+}
+
 func (p *pass) job(j *jobState) {
 	route := p.d.routes[j.Queue]
 	for _, o := range j.occurrences {
@@ -123,36 +113,48 @@
 	return false
 }
 
+// choice is a worker for a task.
+type choice struct {
+	worker *worker
+	score  float64
+	// accepted is false where a task that can wait should rather wait than start.
+	accepted bool
+}
+
+// beats reports whether a choice is better than another; the first of two equal ones stays.
+func (c choice) beats(other choice) bool {
+	if c.accepted != other.accepted || other.worker == nil {
+		return c.accepted || other.worker == nil
+	}
+	return c.score > other.score
+}
+
 // choose returns the best worker for a task, or nil.
 func (p *pass) choose(t *task, route job.Route) *worker {
 	if p.isFull(t.step, route) {
 		return nil
 	}
-	var best *worker
-	bestScore := math.Inf(-1)
+	var best choice
 	roomy := false
 	for _, w := range p.d.fleet {
-		if !p.usable(w, route) {
-			continue
-		}
-		if !counted(t.step).FitsIn(w.free()) {
+		if !p.usable(w, route) || !counted(t.step).FitsIn(w.free()) {
 			continue
 		}
 		roomy = true
 		if t.step.Fills && !p.roomToFill(t.step, w) || !p.permitted(t, w) {
 			continue
 		}
-		if score := p.score(t, w); score > bestScore || (score == bestScore && best != nil && w.ID < best.ID) {
-			best, bestScore = w, score
+		if c := p.rate(t, w); c.beats(best) {
+			best = c
 		}
 	}
 	if !roomy {
 		p.full = append(p.full, fullSize{route.Service, t.step.Fills, counted(t.step)})
 	}
-	if t.step.Fills && bestScore < 0 && p.now.Sub(t.ready) < patience {
+	if !best.accepted && (t.owner.working() || p.now.Sub(t.ready) < patience) {
 		return nil
 	}
-	return best
+	return best.worker
 }
 
 // usable reports whether a worker takes starts of a service now.
@@ -178,158 +180,3 @@
 	}
 	return here < s.MaxPerWorker
 }
-
-// score rates a worker for a task, in cores that stay free; more is better. Below 0 a filling task would find less than
-// its processors unused.
-func (p *pass) score(t *task, w *worker) float64 {
-	score := float64(w.free().CPUMillis) / millis
-	if t.step.Fills {
-		score = p.fillingScore(t.step, w)
-	}
-	if t.step.TailTarget > 0 {
-		score = w.servingScore(t.step.Image)
-	}
-	if w.health.suspect() || t.avoid == w {
-		score -= suspectPenalty
-	}
-	if t.step.DataRack != "" && t.step.DataRack != w.Rack {
-		score -= remotePenalty
-	}
-	return score
-}
-
-// fillingScore is below 0 where the task would find less than its processors unused, or would put serving tasks at
-// risk.
-func (p *pass) fillingScore(s *step, w *worker) float64 {
-	o := p.outlook(w)
-	spare := o.spare - float64(s.Size.CPUMillis)/millis
-	added := p.d.addedRisk(o, w, s)
-	if added > acceptedRisk {
-		return min(spare, 0) - added*riskWeight
-	}
-	return spare - added*riskWeight/2
-}
-
-func (p *pass) outlook(w *worker) *outlook {
-	o := p.outlooks[w]
-	if o == nil {
-		o = p.d.outlookOf(w)
-		p.outlooks[w] = o
-	}
-	return o
-}
-
-// roomToFill reports whether a worker has processors to spare for most of a filling task, and memory beyond what is kept
-// for tasks that do not fill: a filling task without processors only holds memory.
-func (p *pass) roomToFill(s *step, w *worker) bool {
-	after := w.free().MemoryBytes - s.Size.MemoryBytes
-	if float64(after) < memoryReserve*float64(w.Capacity.MemoryBytes) {
-		return false
-	}
-	return p.outlook(w).spare >= leastSpare*float64(s.Size.CPUMillis)/millis
-}
-
-// servingScore rates a worker for a serving task of an image.
-func (w *worker) servingScore(image string) float64 {
-	score := -float64(w.free().CPUMillis) / millis
-	for _, r := range w.list {
-		switch {
-		case r.task == nil || r.task.step.TailTarget <= 0:
-		case r.task.step.Image == image:
-			score += sameImageBonus
-		default:
-			score -= otherImagePenalty
-		}
-	}
-	return score
-}
-
-// millis is the number of thousandths in one core.
-const millis = 1000
-
-// spareCores estimates the cores that the tasks of a worker leave unused.
-func (w *worker) spareCores() float64 {
-	used := 0.0
-	for _, r := range w.list {
-		if r.task == nil {
-			continue
-		}
-		cores := float64(r.task.step.Size.CPUMillis) / millis
-		switch {
-		case r.task.step.Fills:
-			used += cores
-		case r.task.step.Lasting:
-			used += cores * servingLoad
-		default:
-			used += cores
-		}
-	}
-	capacity := float64(w.Capacity.CPUMillis) / millis
-	return capacity - used
-}
-
-// gang places all members of a step at once, on one rack if the step asks for it, or none.
-func (p *pass) gang(s *step, route job.Route) {
-	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || p.d.isSuspect(t) {
-			return
-		}
-	}
-	number := p.d.nextRun()
-	racks := []string{""}
-	if s.SameRack {
-		racks = append(p.racks(route), "")
-	}
-	for _, rack := range racks {
-		if p.gangOn(s, route, rack, number) {
-			return
-		}
-	}
-}
-
-func (p *pass) racks(route job.Route) []string {
-	var racks []string
-	known := make(map[string]bool)
-	for _, w := range p.d.fleet {
-		if w.Rack != "" && !known[w.Rack] && p.usable(w, route) {
-			known[w.Rack] = true
-			racks = append(racks, w.Rack)
-		}
-	}
-	return racks
-}
-
-// gangOn reserves room for each member; an empty rack means any.
-func (p *pass) gangOn(s *step, route job.Route, rack string, number job.RunNumber) bool {
-	chosen := make([]*worker, 0, len(s.tasks))
-	size := counted(s)
-	taken := make(map[*worker]int64)
-	for _, t := range s.tasks {
-		var best *worker
-		for _, w := range p.d.fleet {
-			if (rack != "" && w.Rack != rack) || !p.usable(w, route) || !p.permitted(t, w) {
-				continue
-			}
-			if s.MaxPerWorker > 0 && taken[w] >= int64(s.MaxPerWorker) {
-				continue
-			}
-			if !size.Times(taken[w] + 1).FitsIn(w.free()) {
-				continue
-			}
-			if best == nil || p.score(t, w) > p.score(t, best) {
-				best = w
-			}
-		}
-		if best == nil {
-			return false
-		}
-		taken[best]++
-		chosen = append(chosen, best)
-	}
-	saved := s.tasks[0].saved
-	for i, t := range s.tasks {
-		t.saved = saved
-		p.d.start(p.now, t, chosen[i], number)
-	}
-	return true
-}
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -13,8 +13,11 @@
 
 type simRun struct {
 	finish time.Time
-	kind   job.EndKind
-	size   model.Resources
+	// pace is in percent, figure what the worker reports of the run's tail or use, mean the tail of the last half second.
+	pace         int
+	figure, mean float64
+	kind         job.EndKind
+	size         model.Resources
 }
 
 type simWorker struct {
@@ -77,7 +80,7 @@
 	}
 	w.checkStart(o.Run)
 	kind, took := s.outcome(o.Run)
-	s.runs[o.Run] = &simRun{finish: w.now.Add(took), kind: kind, size: size}
+	s.runs[o.Run] = &simRun{finish: w.now.Add(took), kind: kind, size: size, pace: fullPace}
 	return job.Answer{Clock: clock}
 }
 
@@ -124,7 +127,7 @@
 	}
 	inv := job.Inventory{Boot: s.boot, Clock: s.clock(w.now), Ended: slices.Clone(s.ends)}
 	for _, run := range s.present() {
-		inv.Running = append(inv.Running, job.RunningTask{Run: run, Percent: s.percent})
+		inv.Running = append(inv.Running, job.RunningTask{Run: run, Percent: s.percent, Figure: s.runs[run].figure})
 	}
 	w.after(5*time.Millisecond, func() { finish(inv, job.Answer{Clock: inv.Clock}) })
 }
@@ -132,7 +135,8 @@
 // present returns the runs in a fixed order.
 func (s *simWorker) present() []job.Run {
 	return slices.SortedFunc(maps.Keys(s.runs), func(a, b job.Run) int {
-		return cmp.Or(strings.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Number, b.Number))
+		return cmp.Or(strings.Compare(string(a.Task.Job), string(b.Task.Job)), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+			cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
 	})
 }
 
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -75,6 +75,12 @@
 	health health
 	// past are the filling tasks that ended lately.
 	past []pressed
+	// usedBefore is what the filling images used by the report before the newest.
+	usedBefore map[string]float64
+	// slopes are those of the filling images to all serving tasks here together, suits the part of the demand for which
+	// the worker is better than most.
+	slopes map[string]float64
+	suits  float64
 }
 
 func (w *worker) free() model.Resources { return w.Capacity.Sub(w.used) }
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -29,6 +29,9 @@
 	reports       []Report
 	deposed       bool
 	holds         []Hold
+	byID          map[job.ID]*job.Job
+	// emulate lets a step of time pass on a worker, if it is set.
+	emulate func(s *simWorker, step time.Duration)
 }
 
 type worldFaults struct {
@@ -59,7 +62,7 @@
 		settings: Settings{
 			Incarnation: 1, LeaseMax: testLease, StatusKeep: 2 * time.Minute,
 		},
-		workers: make(map[model.WorkerID]*simWorker), cancelSettled: make(map[job.ID]int),
+		workers: make(map[model.WorkerID]*simWorker), cancelSettled: make(map[job.ID]int), byID: make(map[job.ID]*job.Job),
 		routes: []job.Route{{Queue: "q", Service: "s", Attempts: 2, Slack: 1.5, TargetLatency: time.Second}},
 	}
 	w.store.progress = make(map[job.ID]*job.Progress)
@@ -123,6 +126,7 @@
 func (w *world) submit(j job.Job) {
 	j.Queue, j.Accepted = "q", w.now
 	w.store.jobs = append(w.store.jobs, j)
+	w.byID[j.ID] = &j
 	w.leader.JobStored(w.now, j, nil, w.leader.Fresh(w.now))
 	w.settle(w.leader)
 }
@@ -133,6 +137,9 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
 		for _, s := range w.sorted() {
 			w.advance(s)
+			if w.emulate != nil {
+				w.emulate(s, step)
+			}
 		}
 		w.deliver()
 		if w.now.UnixMilli()%100 == 0 {
@@ -186,7 +193,12 @@
 				d.Stopped(w.now, a.Worker, a.Run, answer)
 			})
 		case Pace:
-			w.after(5*time.Millisecond, func() { d.Paced(a.Target, a, true) })
+			w.after(5*time.Millisecond, func() {
+				if r := w.workers[a.Worker].runs[a.Run]; r != nil {
+					r.pace = a.Percent
+				}
+				d.Paced(a.Target, a, true)
+			})
 		case Commit:
 			w.commit(d, a)
 		case CancelSettled:
@@ -274,14 +286,7 @@
 	}
 }
 
-func (w *world) jobOf(id job.ID) *job.Job {
-	for i := range w.store.jobs {
-		if w.store.jobs[i].ID == id {
-			return &w.store.jobs[i]
-		}
-	}
-	return nil
-}
+func (w *world) jobOf(id job.ID) *job.Job { return w.byID[id] }
 
 func (w *world) sizeOf(t job.Task) model.Resources {
 	return counted(&step{Step: &w.jobOf(t.Job).Steps[t.Step]})
