Ask the advice service where a queue's policy allows only some workers

Cause: a queue with advice had every start refused for want of a ticket, which the adapter decoded as an invalid order, so that its jobs failed at once.

A start that is refused for its permit is placed again and leads to a new question.

--- a/cmd/jujubearchd/serve.go
+++ b/cmd/jujubearchd/serve.go
@@ -45,7 +45,8 @@
 	store := platform.NewStore(client, s.StoreAddress)
 	d, err := jobdaemon.Start(s, logger, jobdaemon.Adapter{
 		Store: store, Workers: platform.NewWorkers(client), Directory: platform.NewDirectory(store, logger),
-		Front: platform.NewFront, Health: platform.Ready, LinesDropped: output.Dropped,
+		Advisor: platform.NewAdvisor(client, s.AdviceAddress),
+		Front:   platform.NewFront, Health: platform.Ready, LinesDropped: output.Dropped,
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/coordination/dispatch/action.go
+++ b/internal/coordination/dispatch/action.go
@@ -47,6 +47,8 @@
 	Payload    string
 	LeaseEnd   time.Duration
 	Checkpoint job.Checkpoint
+	// Permit is empty where the queue needs none.
+	Permit job.Permit
 }
 
 // Stop ends a run, or keeps it from being started by an order on its way.
@@ -62,6 +64,18 @@
 	Percent int
 }
 
+// Advise asks the advice service which of some workers may run a step; the answer is Advised.
+type Advise struct {
+	Epoch   model.Epoch
+	Step    job.StepRef
+	Workers []model.WorkerID
+	// Limit is how long the service takes for the answer, without the questions before it.
+	Limit time.Duration
+	// boots are those of the workers when the question was decided, valid is how long permits last.
+	boots []job.Boot
+	valid time.Duration
+}
+
 // Commit writes progress; the answer is Committed.
 type Commit struct {
 	ID          uint64
@@ -87,6 +101,7 @@
 func (Start) isDispatchAction()         {}
 func (Stop) isDispatchAction()          {}
 func (Pace) isDispatchAction()          {}
+func (Advise) isDispatchAction()        {}
 func (Commit) isDispatchAction()        {}
 func (Report) isDispatchAction()        {}
 func (CancelSettled) isDispatchAction() {}
--- a/internal/coordination/dispatch/gang.go
+++ b/internal/coordination/dispatch/gang.go
@@ -21,6 +21,7 @@
 			return
 		}
 	}
+	p.ask(s.tasks[0], route)
 }
 
 func (p *pass) racks(route job.Route) []string {
@@ -43,7 +44,7 @@
 	for _, t := range s.tasks {
 		var best *worker
 		for _, w := range p.d.fleet {
-			if (rack != "" && w.Rack != rack) || !p.usable(w, route) || !p.permitted(t, w) {
+			if (rack != "" && w.Rack != rack) || !p.usable(w, route) || !p.suits(t, w) || !p.permitted(s, w, route) {
 				continue
 			}
 			if s.MaxPerWorker > 0 && taken[w] >= int64(s.MaxPerWorker) {
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -49,6 +49,8 @@
 	next []*step
 	// load is that of the tasks of a serving step.
 	load loadTrack
+	// permits count where the queue's tasks need advice.
+	permits permits
 }
 
 // task is one task and what is known of its runs.
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -94,9 +94,10 @@
 func (d *Dispatcher) sendStart(now time.Time, r *run) {
 	r.attempts++
 	r.retry = time.Time{}
+	permit, _ := r.task.step.permitFor(now, r.worker)
 	d.emit(Start{
 		Target: d.target(r.worker), Run: r.Run, Payload: r.task.owner.Payload,
-		LeaseEnd: d.leaseFor(now, r.worker), Checkpoint: r.saved,
+		LeaseEnd: d.leaseFor(now, r.worker), Checkpoint: r.saved, Permit: permit,
 	})
 }
 
@@ -132,6 +133,9 @@
 	case answer.Refusal == job.RefusedInvalid:
 		d.refused(now, w, r, answer.Refusal.String())
 		d.end(r.task.owner, job.Failed)
+	case answer.Refusal == job.RefusedPermit && r.attempts == 1:
+		delete(r.task.step.permits.granted, id)
+		d.refused(now, w, r, answer.Refusal.String())
 	case r.attempts > 1:
 		// An earlier copy may still be carried out; a stop keeps it from starting.
 		d.stop(r, answer.Refusal.String())
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -92,6 +92,7 @@
 		}
 		w := p.choose(t, route)
 		if w == nil {
+			p.ask(t, route)
 			// The other tasks of the step ask for the same.
 			p.failed++
 			return
@@ -141,7 +142,7 @@
 			continue
 		}
 		roomy = true
-		if t.step.Fills && !p.roomToFill(t.step, w) || !p.permitted(t, w) {
+		if t.step.Fills && !p.roomToFill(t.step, w) || !p.suits(t, w) || !p.permitted(t.step, w, route) {
 			continue
 		}
 		if c := p.rate(t, w); c.beats(best) {
@@ -163,8 +164,17 @@
 		p.now.Sub(w.answered) < freshAnswer && !p.now.Before(w.health.avoidUntil)
 }
 
-// permitted checks what a step demands of a worker beyond room.
-func (p *pass) permitted(t *task, w *worker) bool {
+// permitted reports whether the queue's policy lets a worker run a step.
+func (p *pass) permitted(s *step, w *worker, route job.Route) bool {
+	if route.Advice == nil {
+		return true
+	}
+	_, granted := s.permitFor(p.now, w)
+	return granted
+}
+
+// suits checks what a step demands of a worker beyond room.
+func (p *pass) suits(t *task, w *worker) bool {
 	s := t.step
 	if s.Label != "" && !w.HasLabel(s.Label) {
 		return false
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -37,6 +37,8 @@
 	unlisted bool
 	// percent is the progress that the worker reports of every run.
 	percent int
+	// permit, if it is set, is demanded of every start.
+	permit job.Permit
 	// outcome decides how a run ends and after what time.
 	outcome func(run job.Run) (job.EndKind, time.Duration)
 }
@@ -78,6 +80,9 @@
 	if !used.FitsIn(s.capacity) {
 		return job.Answer{Refusal: job.RefusedRoom, Clock: clock}
 	}
+	if s.permit != "" && o.Permit != s.permit {
+		return job.Answer{Refusal: job.RefusedPermit, Clock: clock}
+	}
 	w.checkStart(o.Run)
 	kind, took := s.outcome(o.Run)
 	s.runs[o.Run] = &simRun{finish: w.now.Add(took), kind: kind, size: size, pace: fullPace}
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -30,6 +30,9 @@
 	deposed       bool
 	holds         []Hold
 	byID          map[job.ID]*job.Job
+	// advise answers questions for advice, which are kept in questions.
+	advise    func(Advise) (map[model.WorkerID]job.Permit, error)
+	questions []Advise
 	// emulate lets a step of time pass on a worker, if it is set.
 	emulate func(s *simWorker, step time.Duration)
 }
@@ -199,6 +202,13 @@
 				}
 				d.Paced(a.Target, a, true)
 			})
+		case Advise:
+			w.questions = append(w.questions, a)
+			w.after(50*time.Millisecond, func() {
+				granted, err := w.advise(a)
+				d.Advised(w.now, a, granted, err)
+				w.settle(d)
+			})
 		case Commit:
 			w.commit(d, a)
 		case CancelSettled:
--- a/internal/coordination/scheduler/answer.go
+++ b/internal/coordination/scheduler/answer.go
@@ -39,6 +39,12 @@
 	}
 }
 
+func (ev Advised) apply(c *Core, now time.Time) {
+	if d := c.led(ev.Question.Epoch); d != nil {
+		d.Advised(now, ev.Question, ev.Granted, ev.Err)
+	}
+}
+
 func (ev Committed) apply(c *Core, now time.Time) {
 	if d := c.led(ev.Epoch); d != nil {
 		d.Committed(now, ev.ID, ev.Revision, ev.Applied, ev.Chain, ev.Err)
--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -122,6 +122,13 @@
 	Answer job.Answer
 }
 
+// Advised is the answer to dispatch.Advise.
+type Advised struct {
+	Question dispatch.Advise
+	Granted  map[model.WorkerID]job.Permit
+	Err      error
+}
+
 // Committed is the answer to dispatch.Commit.
 type Committed struct {
 	Epoch    model.Epoch
--- a/internal/protocol/settings/site.go
+++ b/internal/protocol/settings/site.go
@@ -25,6 +25,9 @@
 	// StoreAddress is the IP:port of the platform's store.
 	StoreAddress string
 
+	// AdviceAddress is the IP:port of the service that permits workers to run steps; empty where there is none.
+	AdviceAddress string
+
 	// LeaseMax is the longest lease of a worker.
 	LeaseMax time.Duration
 	// StatusKeep is how long the final phase of a job stays known.
@@ -77,6 +80,7 @@
 		PeerListen:     r.address("peer", "listen", ""),
 		OperatorListen: r.address("operator", "listen", ""),
 		StoreAddress:   r.address("platform", "store", ""),
+		AdviceAddress:  r.address("platform", "advice", "-"),
 		LeaseMax:       r.duration("worker", "lease_max", 6*time.Second, time.Second, time.Hour),
 		StatusKeep:     r.duration("job", "status_keep", 2*time.Minute, time.Second, 24*time.Hour),
 		LeaderTTL:      r.duration("leader", "ttl", 2*time.Second, time.Second, time.Minute),
@@ -102,6 +106,9 @@
 	put("peer", "listen", s.PeerListen)
 	put("operator", "listen", s.OperatorListen)
 	put("platform", "store", s.StoreAddress)
+	if s.AdviceAddress != "" {
+		put("platform", "advice", s.AdviceAddress)
+	}
 	put("worker", "lease_max", s.LeaseMax)
 	put("job", "status_keep", s.StatusKeep)
 	put("leader", "ttl", s.LeaderTTL)
--- a/internal/state/job/job.go
+++ b/internal/state/job/job.go
@@ -178,8 +178,29 @@
 	// Slack times the chain of a job, plus TargetLatency, is the time in which the job should be completed.
 	Slack         float64
 	TargetLatency time.Duration
+	// Advice is not nil where a policy allows only some workers, which the advice service knows.
+	Advice *Advice
 }
 
+// Advice is what an answer of the advice service takes: Decide, and PerWorker for each worker named. Valid is how long a
+// permit lasts.
+type Advice struct{ Decide, PerWorker, Valid time.Duration }
+
+// Permit lets one life of a worker run a step; it is opaque.
+type Permit string
+
+// StepRef names a step of an occurrence of a job.
+type StepRef struct {
+	Job              ID
+	Occurrence, Step int
+}
+
+// StepOf returns the step of a task.
+func StepOf(t Task) StepRef { return StepRef{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
+
+// String returns the form ID.occurrence.step.
+func (r StepRef) String() string { return fmt.Sprintf("%s.%d.%d", r.Job, r.Occurrence, r.Step) }
+
 // Configuration is the operators' configuration of queues.
 type Configuration struct {
 	Version model.Version
--- a/internal/state/job/worker.go
+++ b/internal/state/job/worker.go
@@ -93,11 +93,13 @@
 	// RefusedUnhealthy means that the worker takes no orders now.
 	RefusedUnhealthy
 	RefusedInvalid
+	// RefusedPermit means that the order had no valid permit.
+	RefusedPermit
 )
 
 // String returns the kind for logs.
 func (r RefusalKind) String() string {
-	return [...]string{"none", "epoch", "old-run", "late", "room", "boot", "unhealthy", "invalid"}[r]
+	return [...]string{"none", "epoch", "old-run", "late", "room", "boot", "unhealthy", "invalid", "permit"}[r]
 }
 
 // Answer is the outcome of an order to a worker.
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -75,6 +75,8 @@
 	RunStopped        Code = 7204
 	RunVanished       Code = 7205
 	PaceChanged       Code = 7206
+	AdviceGiven       Code = 7207
+	AdviceFailed      Code = 7208
 	WorkerHeld        Code = 7301
 	WorkerDraining    Code = 7302
 	WorkerReborn      Code = 7303
@@ -152,6 +154,8 @@
 	StartRefused:      {"start-refused", Warn, "a worker did not take a start; the task is placed again"},
 	RunStopped:        {"run-stopped", Info, "a run is stopped"},
 	RunVanished:       {"run-vanished", Warn, "a worker lists neither a run nor its end; the task is placed again"},
+	AdviceGiven:       {"advice-given", Info, "the advice service said which workers may run a step"},
+	AdviceFailed:      {"advice-failed", Warn, "a question to the advice service got no answer"},
 	PaceChanged:       {"pace-changed", Info, "the pace of the filling tasks of a worker was changed"},
 	WorkerHeld:        {"worker-held", Info, "a worker answered the leader for the first time in this epoch"},
 	WorkerDraining:    {"worker-draining", Info, "a worker is about to leave and gets no starts"},
--- a/internal/transport/jobdaemon/daemon.go
+++ b/internal/transport/jobdaemon/daemon.go
@@ -46,6 +46,7 @@
 	Store     jobs.Store
 	Workers   jobs.Workers
 	Directory jobs.Directory
+	Advisor   jobs.Advisor
 	// Front returns the handler of callers' requests, Health that of the balancer's checks.
 	Front  func(*jobs.Service) http.Handler
 	Health func(*jobs.Service) http.Handler
@@ -75,7 +76,7 @@
 		counters.CountDropped(adapter.LinesDropped)
 	}
 	executor := &jobs.Executor{
-		Store: adapter.Store, Workers: adapter.Workers, Directory: adapter.Directory, Logger: logger, Metrics: counters,
+		Store: adapter.Store, Workers: adapter.Workers, Directory: adapter.Directory, Advisor: adapter.Advisor, Logger: logger, Metrics: counters,
 	}
 	host, err := jobs.NewHost(context.Background(), coreSettings(s), executor, newRandom())
 	if err != nil {
--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -27,6 +27,10 @@
 	orderTimeout = 400 * time.Millisecond
 	// holdGrace is added to the time that a worker may wait before it answers a hold.
 	holdGrace = 500 * time.Millisecond
+	// adviceQueue times the time of an answer bounds a question: it waits for those that were asked before it.
+	// adviceGrace is added for the way there and back.
+	adviceQueue = 4
+	adviceGrace = 300 * time.Millisecond
 )
 
 // Executor performs the core's actions.
@@ -34,6 +38,7 @@
 	Store     Store
 	Workers   Workers
 	Directory Directory
+	Advisor   Advisor
 	Logger    *slog.Logger
 	Metrics   *Metrics
 }
@@ -217,6 +222,8 @@
 		return e.hold(ctx, o)
 	case dispatch.Commit:
 		return e.commitProgress(ctx, a, o)
+	case dispatch.Advise:
+		return e.advise(ctx, o)
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -243,6 +250,13 @@
 	return scheduler.Held{Target: h.Target, Sent: sent, Inventory: inventory, Answer: answer}
 }
 
+func (e *Executor) advise(ctx context.Context, q dispatch.Advise) scheduler.Advised {
+	ctx, cancel := context.WithTimeout(ctx, adviceQueue*q.Limit+adviceGrace)
+	defer cancel()
+	granted, err := e.Advisor.Advise(ctx, q)
+	return scheduler.Advised{Question: q, Granted: granted, Err: err}
+}
+
 func (e *Executor) commitProgress(ctx context.Context, a scheduler.Dispatch, c dispatch.Commit) scheduler.Committed {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/transport/jobs/ports.go
+++ b/internal/transport/jobs/ports.go
@@ -72,6 +72,12 @@
 	Pace(ctx context.Context, p dispatch.Pace) job.Answer
 }
 
+// Advisor asks the service that knows which workers may run a step.
+type Advisor interface {
+	// Advise returns the permits of those workers that may run the step.
+	Advise(ctx context.Context, q dispatch.Advise) (map[model.WorkerID]job.Permit, error)
+}
+
 // Directory reads what the platform and the operators provide.
 type Directory interface {
 	// ListWorkers returns all workers that the platform lists. Unusable entries are left out and logged.
