Reserve fewer processors for kinds of work that are well known

Once 64 reports of a kind have come in, the floor is a quarter for processors and the margin 10% instead of 15%; memory keeps both.

--- a/internal/coordination/placement/estimate.go
+++ b/internal/coordination/placement/estimate.go
@@ -13,11 +13,16 @@
 	minReports = 5
 	// keptSamples bounds the samples of one kind; older ones are overwritten, so that an estimate follows a change.
 	keptSamples = 64
-	// sizeMarginPercent is added to the learned usage.
-	sizeMarginPercent = 15
+	// sizeMarginPercent is added to the learned usage, knownMarginPercent to that of processors once keptSamples reports
+	// have come in: the quantile of few reports is the less certain one.
+	sizeMarginPercent  = 15
+	knownMarginPercent = 10
 	// minDeclaredPercent is the least share of the declared size that is reserved. A kind whose late reports miss its
 	// peak would otherwise be reserved far too small.
 	minDeclaredPercent = 50
+	// knownCPUPercent takes its place for processors once keptSamples reports have come in: a peak that they all missed
+	// slows tasks down, while too little memory ends them.
+	knownCPUPercent = 25
 	// sizeQuantile and runTimeQuantile are the quantiles that estimates take from the samples.
 	sizeQuantile    = 0.95
 	runTimeQuantile = 0.75
@@ -146,10 +151,14 @@
 		return SizeEstimate{Reserve: declared, Reports: k.reports(), Reason: "declared size, fewer than 5 reports"}
 	}
 	reserve := declared
-	reserve.CPUMillis = bounded(k.cpu.quantile(sizeQuantile), declared.CPUMillis)
-	reserve.MemoryBytes = bounded(k.memory.quantile(sizeQuantile), declared.MemoryBytes)
-	reason := fmt.Sprintf("p95 of %d reports plus %d%%, between %d%% and 100%% of the declared size",
-		k.cpu.total, sizeMarginPercent, minDeclaredPercent)
+	least, margin := int64(minDeclaredPercent), int64(sizeMarginPercent)
+	if k.cpu.total >= keptSamples {
+		least, margin = knownCPUPercent, knownMarginPercent
+	}
+	reserve.CPUMillis = bounded(k.cpu.quantile(sizeQuantile), declared.CPUMillis, margin, least)
+	reserve.MemoryBytes = bounded(k.memory.quantile(sizeQuantile), declared.MemoryBytes, sizeMarginPercent, minDeclaredPercent)
+	reason := fmt.Sprintf("p95 of %d reports plus %d%% of processors and %d%% of memory, at least %d%% and %d%% of the declared size",
+		k.cpu.total, margin, sizeMarginPercent, least, minDeclaredPercent)
 	return SizeEstimate{Reserve: reserve, Reports: k.cpu.total, Learned: true, Reason: reason}
 }
 
@@ -160,9 +169,9 @@
 	return k.cpu.total
 }
 
-func bounded(used, declared int64) int64 {
-	learned := used + used*sizeMarginPercent/100
-	return min(max(learned, declared*minDeclaredPercent/100), declared)
+func bounded(used, declared, marginPercent, leastPercent int64) int64 {
+	learned := used + used*marginPercent/100
+	return min(max(learned, declared*leastPercent/100), declared)
 }
 
 // RunTime returns the expected run time of a task of the kind; before minReports finished tasks it is the declared one.
