Keep fewer workers free for lasting tasks, and bound the search for better workers

Two are kept now, after 3 s instead of 2.

The search for better workers of halted tasks looked at every halted task in each tick; it now looks at 8 and goes on where it stopped.

Log line 7209 says once for each step why its tasks have waited for 3 s.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	pending      map[job.Queue]int
 	// memoryPerCPU is the memory, in bytes for a thousandth of a core, that tasks which neither fill nor last ask for.
 	memoryPerCPU float64
+	// relocated is the place in the fleet of the worker whose halted tasks were looked at last.
+	relocated int
 	// questions is the number of questions for advice on their way.
 	questions int
 	// changed is set when a task became ready or capacity became free.
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -47,6 +47,8 @@
 	blocked int
 	// next are the steps that wait for this one.
 	next []*step
+	// waits is set once it was reported that a task has waited for long.
+	waits bool
 	// load is that of the tasks of a serving step.
 	load loadTrack
 	// permits count where the queue's tasks need advice.
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
 	"github.com/jujubearch/jujubearch/internal/state/model"
+	"github.com/jujubearch/jujubearch/internal/state/notice"
 )
 
 const (
@@ -16,9 +17,9 @@
 	passInterval = 20 * time.Millisecond
 	// lastingPatience is how long a lasting task waits behind jobs that end soon: one that is away must be back within
 	// 6 s wherever there is room.
-	lastingPatience = 2 * time.Second
+	lastingPatience = 3 * time.Second
 	// maxReserved bounds the workers that are kept free at a time.
-	maxReserved = 8
+	maxReserved = 2
 	// maxFailedSteps ends a pass: what comes later in the order is less urgent.
 	maxFailedSteps = 40
 )
@@ -107,6 +108,25 @@
 	}
 }
 
+// noteWaiting writes once for each step that a task of it has waited for long, and why no worker was found.
+func (p *pass) noteWaiting(t *task, route job.Route) {
+	waited := p.now.Sub(t.ready)
+	if t.step.waits || waited < patience {
+		return
+	}
+	t.step.waits = true
+	why := "room"
+	switch {
+	case p.isFull(t.step, route):
+	case route.Advice != nil:
+		why = "permit"
+	case t.step.Fills:
+		why = "harm"
+	}
+	p.d.report(notice.TaskWaits, Attr{Key: "job", Value: t.Job}, Attr{Key: "task", Value: t.String()}, Attr{Key: "waited", Value: waited},
+		Attr{Key: "reason", Value: why}, Attr{Key: "late", Value: t.owner.late}, Attr{Key: "due", Value: t.owner.due})
+}
+
 func (p *pass) start(t *task, w *worker) {
 	p.d.start(p.now, t, w, p.d.nextRun())
 	delete(p.outlooks, w)
@@ -151,6 +171,7 @@
 		w := p.choose(t, route)
 		if w == nil {
 			p.ask(t, route)
+			p.noteWaiting(t, route)
 			// The other tasks of the step ask for the same.
 			p.failed++
 			return
--- a/internal/coordination/dispatch/relocate.go
+++ b/internal/coordination/dispatch/relocate.go
@@ -5,22 +5,27 @@
 const (
 	// haltedFor is how long a filling task may be halted before it is moved to a worker where it can work.
 	haltedFor = 400 * time.Millisecond
-	// movesPerTick bounds how many tasks are moved at once: each move looks at all workers.
-	movesPerTick = 4
+	// looksPerTick bounds how many halted tasks are considered at once: for each, all workers are looked at.
+	looksPerTick = 8
 )
 
 // relocate stops halted filling tasks that lose little by it and that another worker lets work, so that they start there.
+// It goes on with the workers after the last one that it came to.
 func (d *Dispatcher) relocate(now time.Time) {
 	p := d.newPass(now)
-	moved := 0
-	for _, w := range d.fleet {
-		for _, r := range w.list {
-			if moved >= movesPerTick {
-				return
+	looks := 0
+	for range d.fleet {
+		if looks >= looksPerTick {
+			return
+		}
+		d.relocated = (d.relocated + 1) % len(d.fleet)
+		for _, r := range d.fleet[d.relocated].list {
+			if !r.movable(now) {
+				continue
 			}
-			if r.movable(now) && p.hasBetter(r) {
+			looks++
+			if p.hasBetter(r) {
 				d.stop(r, "halted")
-				moved++
 			}
 		}
 	}
--- a/internal/coordination/dispatch/stall_test.go
+++ b/internal/coordination/dispatch/stall_test.go
@@ -54,3 +54,27 @@
 	}
 	assert.Assert(t, running, "the lasting task failed 8 s ago and does not run")
 }
+
+// Guards against halted tasks that hold their memory on a worker while another would let them work.
+func TestHaltedTasksMove(t *testing.T) {
+	w := newWorld(1, 2)
+	w.run(500 * time.Millisecond)
+	j := fillingJob(0, 0, "")
+	j.Steps = j.Steps[:1]
+	j.Steps[0].Tasks = 1
+	w.submit(j)
+	w.run(100 * time.Millisecond)
+	var r *run
+	for _, worker := range w.leader.fleet {
+		for _, here := range worker.list {
+			r = here
+		}
+	}
+	assert.Assert(t, r != nil)
+	r.paced, r.halted = 0, w.now
+	r.worker.health.avoidUntil = w.now.Add(time.Minute)
+	w.leader.relocate(w.now.Add(haltedFor / 2))
+	assert.Equal(t, r.phase, running, "moved at once")
+	w.leader.relocate(w.now.Add(2 * haltedFor))
+	assert.Equal(t, r.phase, stopping)
+}
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -77,6 +77,7 @@
 	PaceChanged       Code = 7206
 	AdviceGiven       Code = 7207
 	AdviceFailed      Code = 7208
+	TaskWaits         Code = 7209
 	WorkerHeld        Code = 7301
 	WorkerDraining    Code = 7302
 	WorkerReborn      Code = 7303
@@ -156,6 +157,7 @@
 	RunVanished:       {"run-vanished", Warn, "a worker lists neither a run nor its end; the task is placed again"},
 	AdviceGiven:       {"advice-given", Info, "the advice service said which workers may run a step"},
 	AdviceFailed:      {"advice-failed", Warn, "a question to the advice service got no answer"},
+	TaskWaits:         {"task-waits", Info, "a task has waited for a worker for 3 s"},
 	PaceChanged:       {"pace-changed", Info, "the pace of the filling tasks of a worker was changed"},
 	WorkerHeld:        {"worker-held", Info, "a worker answered the leader for the first time in this epoch"},
 	WorkerDraining:    {"worker-draining", Info, "a worker is about to leave and gets no starts"},
