--- a/internal/coordination/dispatch/rate.go
+++ b/internal/coordination/dispatch/rate.go
@@ -64,7 +64,7 @@
 
 // servingScore rates a worker for a serving task of an image.
 func (w *worker) servingScore(image string) float64 {
-	score := float64(w.free().CPUMillis) / millis
+	score := -float64(w.free().CPUMillis) / millis
 	for _, r := range w.list {
 		switch {
 		case r.task == nil || r.task.step.TailTarget <= 0:
--- a/internal/coordination/dispatch/stall_test.go
+++ b/internal/coordination/dispatch/stall_test.go
@@ -78,3 +78,27 @@
 	w.leader.relocate(w.now.Add(2 * haltedFor))
 	assert.Equal(t, r.phase, stopping)
 }
+
+// Guards against serving tasks that go to the emptiest of equal workers, so that no hole is left for large tasks.
+func TestServingTasksFillWorkersUp(t *testing.T) {
+	w := newWorld(1, 2)
+	for _, s := range w.sorted() {
+		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Hour }
+	}
+	w.run(500 * time.Millisecond)
+	first := servingJob(0, "")
+	first.Steps[0].Tasks, first.Steps[0].MaxPerWorker, first.Steps[0].Size.CPUMillis = 2, 1, 1000
+	w.submit(first)
+	w.run(100 * time.Millisecond)
+	w.submit(plainJob("00000000000000ab", 1))
+	w.run(100 * time.Millisecond)
+	second := servingJob(emulatedServing, "")
+	second.Steps[0].Tasks, second.Steps[0].Size.CPUMillis = 1, 1000
+	w.submit(second)
+	w.run(100 * time.Millisecond)
+	most := 0
+	for _, s := range w.sorted() {
+		most = max(most, len(s.runs))
+	}
+	assert.Equal(t, most, 3, "the second serving task is not on the fuller worker")
+}
