Rate workers once for each kind of filling work in a pass

Cause: on the grown site of Plesni Par the leader's processor time binds. With a backlog each pass, every 20 ms, rated all 350 workers for each of up to 40 steps that no worker accepted. What was refused for an image is now refused for the rest of the pass, unless its job may not wait, and passes with a backlog are 40 ms apart.

TestBacklogIsRatedOncePerKind checks that a refused kind is not rated again.

--- a/internal/coordination/dispatch/bench_test.go
+++ b/internal/coordination/dispatch/bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/jujubearch/jujubearch/internal/state/job"
 	"github.com/jujubearch/jujubearch/internal/state/model"
 )
@@ -64,3 +66,29 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*len(w.leader.fleet)), "us/worker")
 }
+
+// Guards against a pass that rates all workers again for each step of a backlog of one image.
+func TestBacklogIsRatedOncePerKind(t *testing.T) {
+	e := fullFleet(20, 40)
+	w := e.world
+	d := w.leader
+	w.now = w.now.Add(time.Second)
+	for _, j := range d.order {
+		j.value, j.late = 1, false
+	}
+	p := d.newPass(w.now)
+	p.jobs(false)
+	assert.Assert(t, p.failed > 0, "no backlog")
+	assert.Assert(t, len(p.refused) > 0 && len(p.refused) <= emulatedFilling, "%d kinds refused", len(p.refused))
+	// A kind that was refused is not rated again, while it can wait.
+	again := d.newPass(w.now)
+	again.refused = p.refused
+	for _, j := range d.order {
+		for _, t := range j.occurrences[0].steps[0].tasks {
+			if t.step.Fills && j.working() && len(t.runs) == 0 && p.refused[fillingKind{"s", t.step.Image, j.value}] {
+				again.choose(t, d.routes[j.Queue])
+			}
+		}
+	}
+	assert.Equal(t, len(again.outlooks), 0)
+}
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -14,7 +14,7 @@
 	patience = 3000 * time.Millisecond
 	// passInterval is the least time after a pass that left tasks without a worker: with a backlog, a pass looks at many
 	// tasks, and each end of a run asks for one.
-	passInterval = 20 * time.Millisecond
+	passInterval = 40 * time.Millisecond
 	// lastingPatience is how long a lasting task waits behind jobs that end soon: one that is away must be back within
 	// 6 s wherever there is room.
 	lastingPatience = 3 * time.Second
@@ -47,12 +47,22 @@
 	full []fullSize
 	// failed counts the steps for which no worker was found.
 	failed int
+	// refused are the kinds of filling work that no worker accepted in this pass; what else there is of them waits for
+	// the next one.
+	refused map[fillingKind]bool
 	// reserved are workers that are kept free for tasks that have waited for too long.
 	reserved map[*worker]bool
 	// outlooks are kept until something is placed on their worker.
 	outlooks map[*worker]*outlook
 }
 
+// fillingKind is what decides whether a worker accepts filling work, but for sizes, which differ little within an image.
+type fillingKind struct {
+	service model.ServiceName
+	image   string
+	value   float64
+}
+
 type fullSize struct {
 	service model.ServiceName
 	fills   bool
@@ -60,7 +70,7 @@
 }
 
 func (d *Dispatcher) newPass(now time.Time) *pass {
-	return &pass{d: d, now: now, outlooks: make(map[*worker]*outlook), reserved: make(map[*worker]bool)}
+	return &pass{d: d, now: now, outlooks: make(map[*worker]*outlook), reserved: make(map[*worker]bool), refused: make(map[fillingKind]bool)}
 }
 
 // starved places lasting tasks that have waited for long before all others, and keeps workers free for those that find no
@@ -213,6 +223,11 @@
 	if p.isFull(t.step, route) {
 		return nil
 	}
+	canWait := t.owner.working() || p.now.Sub(t.ready) < patience
+	kind := fillingKind{route.Service, t.step.Image, t.owner.value}
+	if t.step.Fills && canWait && p.refused[kind] {
+		return nil
+	}
 	var best choice
 	roomy := false
 	for _, w := range p.d.fleet {
@@ -230,7 +245,10 @@
 	if !roomy {
 		p.full = append(p.full, fullSize{route.Service, t.step.Fills, counted(t.step)})
 	}
-	if !best.accepted && (t.owner.working() || p.now.Sub(t.ready) < patience) {
+	if !best.accepted && t.step.Fills {
+		p.refused[kind] = true
+	}
+	if !best.accepted && canWait {
 		return nil
 	}
 	return best.worker
