Keep workers free only after all lasting tasks were tried

A worker that is kept free for a large lasting task took no other one, so a smaller one that fitted only there waited as long as the large one did. Now all that have waited for long are tried first. TestReservedWorkersTakeSmallerLastingTasks failed before.

--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -76,21 +76,27 @@
 // starved places lasting tasks that have waited for long before all others, and keeps workers free for those that find no
 // room.
 func (p *pass) starved() {
+	var roomless []*task
 	for _, j := range p.d.order {
 		if !j.Lasting() || !p.d.mayPlace(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				p.starvedTasks(s, p.d.routes[j.Queue])
+				roomless = append(roomless, p.starvedTasks(s, p.d.routes[j.Queue])...)
 			}
 		}
 	}
+	// A worker is kept free only after all of them were tried: a smaller task may fit where a larger one does not.
+	for _, t := range roomless[:min(len(roomless), maxReserved)] {
+		p.reserve(t, p.d.routes[t.owner.Queue])
+	}
 }
 
-func (p *pass) starvedTasks(s *step, route job.Route) {
+// starvedTasks places the tasks of a lasting step that have waited for long, and returns those that find no room.
+func (p *pass) starvedTasks(s *step, route job.Route) (roomless []*task) {
 	if !s.Lasting || s.Gang || s.blocked > 0 {
-		return
+		return nil
 	}
 	for _, t := range s.tasks {
 		if len(t.runs) > 0 || p.now.Sub(t.ready) < lastingPatience || p.d.isSuspect(t) {
@@ -98,10 +104,11 @@
 		}
 		if w := p.choose(t, route); w != nil {
 			p.start(t, w)
-		} else if len(p.reserved) < maxReserved {
-			p.reserve(t, route)
+		} else {
+			roomless = append(roomless, t)
 		}
 	}
+	return roomless
 }
 
 // reserve keeps the worker with the most free processors from taking other tasks than filling ones.
--- a/internal/coordination/dispatch/stall_test.go
+++ b/internal/coordination/dispatch/stall_test.go
@@ -102,3 +102,32 @@
 	}
 	assert.Equal(t, most, 3, "the second serving task is not on the fuller worker")
 }
+
+// Guards against a worker kept free for a large lasting task that no worker has room for, while a smaller one that would
+// fit there waits.
+func TestReservedWorkersTakeSmallerLastingTasks(t *testing.T) {
+	w := newWorld(1, 1)
+	s := w.sorted()[0]
+	s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Hour }
+	w.run(500 * time.Millisecond)
+	w.submit(plainJob("0000000000000001", 4))
+	w.run(100 * time.Millisecond)
+	for i, cores := range []int64{6, 5, 3} {
+		w.submit(job.Job{ID: job.ID(fmt.Sprintf("%016x", 16+i)), Steps: []job.Step{{
+			Tasks: 1, Size: model.Resources{CPUMillis: cores * 1000, MemoryBytes: 1 << 30}, Estimate: time.Second, Lasting: true,
+		}}})
+		// The smaller ones find the room taken until the plain tasks of another job end.
+		if i == 1 {
+			w.submit(plainJob("0000000000000002", 4))
+			w.run(200 * time.Millisecond)
+		}
+	}
+	w.run(2 * lastingPatience)
+	w.leader.Cancel("0000000000000002")
+	w.run(6 * time.Second)
+	running := false
+	for run := range s.runs {
+		running = running || run.Task.Job == "0000000000000012"
+	}
+	assert.Assert(t, running, "the smallest lasting task does not run")
+}
