--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -212,14 +212,23 @@
 
 // task returns a task of an opened occurrence, or nil.
 func (j *jobState) task(key job.TaskKey) *task {
-	if key.Occurrence < 0 || key.Occurrence >= len(j.occurrences) {
+	s := j.step(key.Occurrence, key.Step)
+	if s == nil || key.Index < 0 || key.Index >= len(s.tasks) {
 		return nil
 	}
-	o := j.occurrences[key.Occurrence]
-	if key.Step < 0 || key.Step >= len(o.steps) || key.Index < 0 || key.Index >= len(o.steps[key.Step].tasks) {
+	return s.tasks[key.Index]
+}
+
+// step returns a step of an opened occurrence, or nil.
+func (j *jobState) step(occurrence, number int) *step {
+	if occurrence < 0 || occurrence >= len(j.occurrences) {
+		return nil
+	}
+	steps := j.occurrences[occurrence].steps
+	if number < 0 || number >= len(steps) {
 		return nil
 	}
-	return o.steps[key.Step].tasks[key.Index]
+	return steps[number]
 }
 
 // working reports whether a task of the job is on a worker.
--- a/internal/coordination/dispatch/pace.go
+++ b/internal/coordination/dispatch/pace.go
@@ -68,7 +68,7 @@
 		if !r.serving() {
 			continue
 		}
-		n := neighbour{image: r.task.step.Image, margin: r.task.step.load.ahead(now, paceLead) + min(r.offset, 0) - 1}
+		n := neighbour{image: r.task.step.Image, margin: r.marginAt(r.task.step.load.ahead(now, paceLead))}
 		if !r.overSince.IsZero() && now.Sub(r.overSince) > overHalt {
 			n.protected = true
 		}
@@ -116,7 +116,7 @@
 	return paceCost * (overRisk(n.margin-loss, paceDoubt) - overRisk(n.margin, paceDoubt))
 }
 
-// setPace tells a worker the pace of a filling task if it differs enough from what it was told.
+// setPace tells a worker the pace of a filling task if it differs from what it was told.
 func (d *Dispatcher) setPace(now time.Time, r *run, percent int) {
 	if percent == r.paced {
 		return
--- a/internal/coordination/dispatch/permit.go
+++ b/internal/coordination/dispatch/permit.go
@@ -114,12 +114,8 @@
 
 func (d *Dispatcher) stepOf(ref job.StepRef) *step {
 	j, known := d.jobs[ref.Job]
-	if !known || j.phase.Final() || ref.Occurrence >= len(j.occurrences) {
+	if !known || j.phase.Final() {
 		return nil
 	}
-	steps := j.occurrences[ref.Occurrence].steps
-	if ref.Step >= len(steps) {
-		return nil
-	}
-	return steps[ref.Step]
+	return j.step(ref.Occurrence, ref.Step)
 }
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -230,9 +230,9 @@
 	if p.isFull(t.step, route) {
 		return nil
 	}
-	canWait := t.owner.working() || p.now.Sub(t.ready) < patience
 	kind := fillingKind{route.Service, t.step.Image, t.owner.value}
-	if t.step.Fills && canWait && p.refused[kind] {
+	canWait := t.step.Fills && (p.now.Sub(t.ready) < patience || t.owner.working())
+	if canWait && p.refused[kind] {
 		return nil
 	}
 	var best choice
--- a/internal/coordination/dispatch/risk.go
+++ b/internal/coordination/dispatch/risk.go
@@ -33,6 +33,9 @@
 	protected bool
 }
 
+// marginAt returns the headroom above its target of a serving task whose load leaves it some headroom.
+func (r *run) marginAt(headroom float64) float64 { return headroom + min(r.offset, 0) - 1 }
+
 // overRisk returns how likely a task with a margin is over its target.
 func overRisk(margin, doubt float64) float64 {
 	return min(max(0.5-margin/(2*doubt), 0), 1)
@@ -58,7 +61,7 @@
 		if r.task == nil || r.task.step.TailTarget <= 0 || r.phase == stopping {
 			continue
 		}
-		n := neighbour{image: r.task.step.Image, margin: r.task.step.load.lasting(now) + min(r.offset, 0) - 1}
+		n := neighbour{image: r.task.step.Image, margin: r.marginAt(r.task.step.load.lasting(now))}
 		for _, u := range filling {
 			n.margin -= d.harmOf(n.image, u.image) * u.share
 		}
@@ -104,7 +107,7 @@
 	case j.late:
 		j.value = lateValue
 	case left < needed+tightSlack:
-		j.value = min(1/max(j.unfinished(), 1/maxValue), maxValue)
+		j.value = min(1/j.unfinished(), maxValue)
 	default:
 		j.value = 1
 	}
--- a/internal/protocol/jobrecord/jobrecord_test.go
+++ b/internal/protocol/jobrecord/jobrecord_test.go
@@ -83,6 +83,7 @@
 			{ID: "w", Address: "127.0.0.1:2"},
 			{ID: "x", Address: "127.0.0.1:3", Closed: true, Runs: []job.Task{{Job: "0123456789abcdef", Step: 1, Index: 4}}},
 		}},
+		job.KeyHarm:                     &job.Harm{Pairs: []job.HarmPair{{Serving: "s", Filling: "f", Slope: 9.25, Deviation: 0.5}}},
 		job.ProgressKey("0123456789ab"): &job.Progress{Job: "0123456789ab", Phase: job.Failed, Tasks: map[job.TaskKey]job.TaskProgress{}},
 	} {
 		text, err := Encode(record)
@@ -100,6 +101,7 @@
 	f.Add("progress/0123456789abcdef", []byte(`{"done":[[0,0,5,1000000000]]}`))
 	f.Add("progress/0123456789abcdef", []byte(`{"phase":"lost"}`))
 	f.Add("chain/workers", []byte(`{"workers":{"a":1}}`))
+	f.Add("chain/harm", []byte(`[{"serving":"s","filling":"","slope":1}]`))
 	f.Add("lead/leader", []byte(`[`))
 	f.Add("other", []byte(`{}`))
 	f.Fuzz(func(t *testing.T, key string, text []byte) {
