Settle claims only once their release is stored

A caller that gives up while its claim is being committed settles the claim as not run. The owner of the shard confirmed that settlement at once and appended the release after the claim's commit, ignoring a failure. During a rolling restart the shard is handed over between the two, and the claim stays until its retention ends: later tries get 409 key-running for a request that never ran. The settlement now waits for the commit, is confirmed when the release is stored, and fails otherwise, so that it is repeated at the next owner.

Ruled out by reading: a settlement lost with the draining entry (Drain waits for it) and a claim message that arrives after the settlement (refused as abandoned).

Settle after Close or Abort does nothing, which ends the race between Abort's wait and a handler that is still running.

--- a/internal/coordination/claim/claim.go
+++ b/internal/coordination/claim/claim.go
@@ -152,17 +152,18 @@
 	return record, true, nil
 }
 
-// IsAbandoned reports whether the request was settled as not run.
-func (t *Table) IsAbandoned(requestID string) bool {
-	_, abandoned := t.abandoned[requestID]
-	return abandoned
+// IsPending reports whether the claim of a request is queued but not yet committed.
+func (t *Table) IsPending(r Request) bool {
+	queued, found := t.pending[r.Key]
+	return found && queued.RequestID == r.RequestID
 }
 
 // DropProposal drops a proposal whose record was refused by the journal.
 func (t *Table) DropProposal(key model.KeyHash) { delete(t.pending, key) }
 
 // Settle returns the record that ends a claim, or false if the request does not hold the claim. A request that is
-// settled as not run is recorded as abandoned, so that a claim of it that arrives later is refused.
+// settled as not run is recorded as abandoned, so that a claim of it that arrives later is refused. While the claim is
+// pending, Settle must be called again after its commit.
 func (t *Table) Settle(now time.Time, r Request, notRun bool, response *StoredResponse) (model.ClaimRecord, bool) {
 	if notRun {
 		t.abandoned[r.RequestID] = now
--- a/internal/coordination/controller/claim.go
+++ b/internal/coordination/controller/claim.go
@@ -44,13 +44,16 @@
 type claimShard struct {
 	table *claim.Table
 	// waiters holds, by key, the requests that wait for the commit of a queued claim of that key.
-	waiters    map[model.KeyHash][]ClaimRequested
-	nextExpiry time.Time
+	waiters map[model.KeyHash][]ClaimRequested
+	// settlements holds, by key, the settlements of claims whose record is not yet committed.
+	settlements map[model.KeyHash][]ClaimSettled
+	nextExpiry  time.Time
 }
 
 func newClaimShard() *claimShard {
 	return &claimShard{
 		table: claim.NewTable(responseBytesPerShard), waiters: make(map[model.KeyHash][]ClaimRequested),
+		settlements: make(map[model.KeyHash][]ClaimSettled),
 	}
 }
 
@@ -116,15 +119,19 @@
 	return err
 }
 
-// onClaimCommitted answers the requests that wait for a claim of the key. A non-nil err means that the commit failed.
+// onClaimCommitted settles the claim if that was requested meanwhile, and answers the requests that wait for a claim of
+// the key. A non-nil err means that the outcome of the commit is unknown.
 func (c *Controller) onClaimCommitted(s *shard, record model.ClaimRecord, err error) {
 	waiters := s.claims.waiters[record.Key]
 	delete(s.claims.waiters, record.Key)
-	if err == nil && s.claims.table.IsAbandoned(record.RequestID) {
-		// The request was abandoned while its claim was queued, and nothing would settle the claim later.
-		released := record
-		released.Kind = model.ClaimReleased
-		_ = c.appendClaims(s, []model.ClaimRecord{released}, func(error) {})
+	settlements := s.claims.settlements[record.Key]
+	delete(s.claims.settlements, record.Key)
+	for _, settlement := range settlements {
+		if err != nil {
+			c.reply(settlement.ReplyTo, nil, err)
+			continue
+		}
+		c.handleClaimSettled(settlement)
 	}
 	for _, w := range waiters {
 		if err != nil {
@@ -142,6 +149,12 @@
 		return
 	}
 	record, holds := s.claims.table.Settle(c.now, e.Request, e.NotRun, e.Response)
+	if s.claims.table.IsPending(e.Request) {
+		// The claim takes effect even if the shard moves before its commit is confirmed, so that the settlement may not
+		// be confirmed before it.
+		s.claims.settlements[e.Request.Key] = append(s.claims.settlements[e.Request.Key], e)
+		return
+	}
 	if !holds {
 		// There is nothing to record: the claim was already settled or was never taken.
 		c.reply(e.ReplyTo, true, nil)
--- a/internal/transport/claim/claim.go
+++ b/internal/transport/claim/claim.go
@@ -44,6 +44,9 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	settlements sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
 }
 
 // NewService returns a service. Close or Abort ends its background settlements.
@@ -54,6 +57,7 @@
 
 // Close waits for background settlements until the context ends, and then abandons the rest.
 func (s *Service) Close(ctx context.Context) {
+	s.refuseSettlements()
 	done := make(chan struct{})
 	go func() {
 		s.settlements.Wait()
@@ -69,10 +73,28 @@
 
 // Abort abandons all background settlements.
 func (s *Service) Abort() {
+	s.refuseSettlements()
 	s.cancel()
 	s.settlements.Wait()
 }
 
+// refuseSettlements makes Settle ignore further calls, so that the settlements in progress can be waited for.
+func (s *Service) refuseSettlements() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+// addSettlement counts a settlement, or returns false once the service is closing.
+func (s *Service) addSettlement() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.settlements.Add(1)
+	}
+	return !s.closed
+}
+
 // Claim requests the claim, with retries until the context ends. An error carries verdict NotRun.
 func (s *Service) Claim(ctx context.Context, r claim.Request) (claim.Decision, error) {
 	var lastErr error
@@ -124,11 +146,13 @@
 
 // Settle reports to the owner how a request ended. It returns at once and retries the call in the background until the
 // owner has recorded the result or settleTimeout has passed. A claim that is never settled counts as running until its
-// retention ends.
+// retention ends. After Close or Abort nothing is reported, as after a crash of the process.
 func (s *Service) Settle(r claim.Request, notRun bool,
 	response *claim.StoredResponse,
 ) {
-	s.settlements.Add(1)
+	if !s.addSettlement() {
+		return
+	}
 	go func() {
 		defer s.settlements.Done()
 		ctx, cancel := context.WithTimeout(s.ctx, settleTimeout)
