Keep the slot of a given-up request until its instance has ended it

A request that passed its deadline freed its slot when its connection was closed here, while the instance was still working on it, so that instances got more requests than they have slots. An exchange that is given up now ends the stream to the instance and keeps the connection, and with it the slot and the connection's count, until the instance closes it, for at most 2 s.

--- a/internal/transport/caller/attempt.go
+++ b/internal/transport/caller/attempt.go
@@ -66,8 +66,13 @@
 	r.releaseTarget()
 }
 
-// releaseTarget releases the slot of the attempt.
-func (r *attemptResult) releaseTarget() { r.target.release() }
+// releaseTarget releases the slot of the attempt, whose response must have been closed.
+func (r *attemptResult) releaseTarget() {
+	if r.response != nil {
+		r.target.ended = upstream.Ended(r.response.Body)
+	}
+	r.target.release()
+}
 
 // sendWithRetries sends the request until an attempt has a final response or may not be repeated. It returns the last
 // result, whose target the caller must release.
@@ -181,6 +186,7 @@
 	}
 	r.failure = failure
 	r.kind = failure.Kind
+	r.target.ended = failure.Ended
 	r.target.recordFailure(failure.Kind)
 }
 
--- a/internal/transport/caller/target.go
+++ b/internal/transport/caller/target.go
@@ -15,6 +15,8 @@
 	// link is set when the attempt goes to a peer.
 	link    *link
 	started time.Time
+	// ended is closed once the instance has ended the request; nil means that it has.
+	ended <-chan struct{}
 }
 
 func (t *target) address() string {
@@ -38,13 +40,20 @@
 	return &t.instance.Limiter.Health
 }
 
-// release releases the slot. It must be called exactly once per target.
+// release releases the slot, as soon as the instance has ended the request. It must be called exactly once per target.
 func (t *target) release() {
 	if t.link != nil {
 		t.link.state.inFlight.Add(-1)
 		return
 	}
-	t.service.release(t.instance)
+	if t.ended == nil {
+		t.service.release(t.instance)
+		return
+	}
+	go func() {
+		<-t.ended
+		t.service.release(t.instance)
+	}()
 }
 
 // recordResponse records a response and the latency up to its headers. The latency of a 5xx response counts as at least
--- a/internal/transport/caller/traffic_test.go
+++ b/internal/transport/caller/traffic_test.go
@@ -125,6 +125,31 @@
 	assert.Equal(t, s.maxRunning.Load(), int64(slots), "more requests ran than there are slots")
 }
 
+// Guards against more requests at an instance than it has slots: a request that passed its deadline freed its slot
+// before the instance had ended it.
+func TestSlotOfGivenUpRequestStaysTaken(t *testing.T) {
+	const slots, work = 2, 150 * time.Millisecond
+	var running, maxRunning atomic.Int64
+	ignoresCancel := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		n := running.Add(1)
+		defer running.Add(-1)
+		maxRunning.Store(max(maxRunning.Load(), n))
+		time.Sleep(work)
+	})
+	r := newTestProxy(t, slots, serve(t, ignoresCancel, false))
+	client := clients(t)["http1"]
+	var wait sync.WaitGroup
+	for range 4 * slots {
+		wait.Go(func() {
+			for range 5 {
+				fetch(client, http.MethodPost, "http://"+r.address+"/", "0.05")
+			}
+		})
+	}
+	wait.Wait()
+	assert.Equal(t, maxRunning.Load(), int64(slots), "more requests ran than there are slots")
+}
+
 // Guards against a retry storm: upstreams that fail all requests get at most 1.1 times as many attempts as there are
 // requests, and a request that is not idempotent gets one attempt.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
--- a/internal/transport/upstream/exchange.go
+++ b/internal/transport/upstream/exchange.go
@@ -13,6 +13,8 @@
 type Failure struct {
 	Kind  retry.Kind
 	Cause error
+	// Ended is closed once the upstream has ended the request; nil means that it has, or never got it.
+	Ended <-chan struct{}
 }
 
 // Error returns the reason, followed by the cause.
@@ -40,6 +42,9 @@
 		}
 		return nil, &Failure{Kind: classifyDial(r.Context(), err), Cause: err}
 	}
+	if !p.options.HTTP2 {
+		c.netConn.inExchange.Store(true)
+	}
 	body := trackBody(r)
 	response, err := c.client.RoundTrip(r)
 	if err != nil {
@@ -66,7 +71,7 @@
 	kind := classify(failedExchange{
 		context: r.Context(), err: err, notWritten: notWritten, readErr: readErr, bodyErr: body.failure(),
 	})
-	return &Failure{Kind: kind, Cause: err}
+	return &Failure{Kind: kind, Cause: err, Ended: c.netConn.ended()}
 }
 
 // trackedBody records the first error from reading the caller's body, to tell it from an error of the upstream
@@ -123,6 +128,15 @@
 	return err
 }
 
+// Ended returns a channel that is closed once the upstream has ended the request whose response body was closed before
+// its end. It returns nil if the response was read completely.
+func Ended(body io.ReadCloser) <-chan struct{} {
+	if b, ok := body.(*responseBody); ok {
+		return b.conn.netConn.ended()
+	}
+	return nil
+}
+
 // recycle keeps a connection that can take further requests in the pool and closes any other.
 func (p *Pool) recycle(c *conn) {
 	if p.options.HTTP2 {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -258,7 +258,7 @@
 		return
 	default:
 	}
-	if c.client.Available() == 0 || (!p.options.HTTP2 && p.isClosed(c.conns.address)) {
+	if c.client.Available() == 0 || c.netConn.ended() != nil || (!p.options.HTTP2 && p.isClosed(c.conns.address)) {
 		p.discard(c)
 		return
 	}
@@ -270,22 +270,39 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.lastUsed = time.Now()
+	if !p.options.HTTP2 {
+		c.netConn.inExchange.Store(false)
+	}
 	if !c.inIdleList && !c.uncounted {
 		c.inIdleList = true
 		c.conns.idle = append(c.conns.idle, c)
 	}
 }
 
-// discard removes a connection from the pool and closes it.
+// discard removes a connection from the pool and closes it. An abandoned connection counts as open until the upstream
+// has ended it.
 func (p *Pool) discard(c *conn) {
 	p.mu.Lock()
 	if c.inIdleList {
 		c.conns.idle = removeConn(c.conns.idle, c)
 		c.inIdleList = false
 	}
-	p.uncount(c)
 	p.mu.Unlock()
 	_ = c.client.Close()
+	if ended := c.netConn.ended(); ended != nil {
+		go func() {
+			<-ended
+			p.uncountLocked(c)
+		}()
+		return
+	}
+	p.uncountLocked(c)
+}
+
+func (p *Pool) uncountLocked(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.uncount(c)
 }
 
 // uncount excludes a connection from the number of open ones; the caller holds the mutex.
--- a/internal/transport/upstream/tracked_conn.go
+++ b/internal/transport/upstream/tracked_conn.go
@@ -1,10 +1,16 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
+// maxAbandonTime bounds the wait for an upstream to end a request that was given up. An instance that ignores the end
+// of its client's stream may take longer; its slot is then used again too early.
+const maxAbandonTime = 2 * time.Second
+
 // States of a trackedConn.
 const (
 	stateUnwritten int32 = iota
@@ -23,6 +29,45 @@
 	state atomic.Int32
 	// readErr holds the first read error, which tells how the other side ended the connection.
 	readErr atomic.Pointer[error]
+	// inExchange is set while an HTTP/1.1 connection is assigned to a request.
+	inExchange atomic.Bool
+	// abandoned is not nil once an exchange was given up. The channel is closed when the upstream has ended the
+	// connection, or after maxAbandonTime.
+	abandoned atomic.Pointer[chan struct{}]
+}
+
+// halfCloser is a connection whose sending direction can be closed alone.
+type halfCloser interface{ CloseWrite() error }
+
+// Close implements net.Conn. If it gives up an exchange whose request was written, it ends the stream to the upstream
+// and closes the connection only when the upstream has ended it, which shows that the request has ended there.
+func (c *trackedConn) Close() error {
+	half, ok := c.Conn.(halfCloser)
+	if !ok || !c.inExchange.Load() || c.state.Load() != stateWritten {
+		return c.Conn.Close()
+	}
+	ended := make(chan struct{})
+	if !c.abandoned.CompareAndSwap(nil, &ended) {
+		return nil
+	}
+	go func() {
+		defer close(ended)
+		// Either error means that the connection is already gone, which the read below reports at once.
+		_ = half.CloseWrite()
+		_ = c.Conn.SetReadDeadline(time.Now().Add(maxAbandonTime))
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
+	}()
+	return nil
+}
+
+// ended returns a channel that is closed once the upstream has ended an abandoned exchange, or nil if none was
+// abandoned.
+func (c *trackedConn) ended() <-chan struct{} {
+	if ended := c.abandoned.Load(); ended != nil {
+		return *ended
+	}
+	return nil
 }
 
 // Read implements net.Conn.
