Count the leases of earlier leaders on a silent worker

A leader noted as a worker's lease only what it had requested itself. A new leader's first hold requests none, and the second one is held back while ends wait for their commit; if the leader was paused or short of CPU time for 1.8 s in between, and the worker's next answer took longer than a tick, the worker counted as unreachable and its leases as expired at once, although the former leader had renewed them for up to the longest lease. Its tasks were placed again while they ran. A worker's first answer under a new epoch now counts as a renewal for the longest lease.

--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -113,6 +113,8 @@
 	}
 	d.reconcileRuns(now, sent, w, inv.Running)
 	if !w.fenced {
+		// An earlier leader may have renewed the leases up to the moment at which the worker was fenced.
+		w.leaseEnd = max(w.leaseEnd, inv.Clock+d.settings.MaxLease)
 		w.fenced, w.restartedAt = true, time.Time{}
 		d.passNeeded = true
 		d.logEvent(notice.WorkerFirstResponse, Attr{Key: "worker", Value: w.ID}, Attr{Key: "epoch", Value: d.epoch},
--- a/internal/coordination/dispatch/recover_test.go
+++ b/internal/coordination/dispatch/recover_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,3 +73,64 @@
 		assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
 	}
 }
+
+// Guards against two runs of one task: a new leader that was paused, or short of CPU time, after the first answer of a
+// worker took the leases there as expired at once, although the former leader had renewed them, and placed the tasks
+// again. The fleet is large, orders are carried out late, and the lead changes twice.
+func TestSuccessorCountsLeasesOfItsPredecessor(t *testing.T) {
+	const workers, jobs, tasks = 1100, 40, 50
+	sim := newSimulation(3, workers)
+	for _, s := range sim.workers {
+		s.outcome = func(run job.Run) (job.EndKind, time.Duration) {
+			if run.Task.Job == "short" {
+				return job.EndDone, 200 * time.Millisecond
+			}
+			return job.EndDone, time.Minute
+		}
+	}
+	sim.advanceTime(time.Second)
+	for i := range jobs {
+		j := plainJob(job.ID(fmt.Sprintf("j%d", i)), tasks)
+		j.Steps[0].LongRunning = true
+		sim.submit(j)
+	}
+	sim.advanceTime(2 * time.Second)
+	sim.faults.late = 0.05
+	for range 2 {
+		// Ends that are not committed delay the second hold of the new leader.
+		sim.store.unavailable = true
+		sim.submit(plainJob("short", 2*workers))
+		sim.advanceTime(time.Second)
+		sim.electLeader(6 * time.Second)
+		sim.advanceTime(200 * time.Millisecond)
+		sim.now = sim.now.Add(2 * time.Second)
+		sim.setUnreachable(func(i int) bool { return i%2 == 0 })
+		sim.advanceTime(time.Second)
+		sim.setUnreachable(func(int) bool { return false })
+		sim.advanceTime(time.Second)
+		sim.store.unavailable = false
+		sim.advanceTime(time.Second)
+		assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	}
+	sim.advanceTime(testMaxLease)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, runningTasks(sim), jobs*tasks)
+}
+
+// setUnreachable sets which workers, by their place in the order of ids, don't answer.
+func (sim *simulation) setUnreachable(unreachable func(i int) bool) {
+	for i, s := range sim.sortedWorkers() {
+		s.unreachable = unreachable(i)
+	}
+}
+
+// runningTasks returns the number of tasks with a run on a worker.
+func runningTasks(sim *simulation) int {
+	tasks := make(map[job.Task]bool)
+	for _, s := range sim.workers {
+		for run := range s.runs {
+			tasks[run.Task] = true
+		}
+	}
+	return len(tasks)
+}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -67,7 +67,7 @@
 	// clock is the newest reading of the worker's monotonic clock; it arrived at clockAt.
 	clock   time.Duration
 	clockAt time.Time
-	// leaseEnd is the latest lease end that was requested, on the worker's clock.
+	// leaseEnd is the latest lease end that this or an earlier leader can have requested, on the worker's clock.
 	leaseEnd time.Duration
 	// restartedAt is when a restart under the same id was noticed; zero once the worker has answered.
 	restartedAt time.Time
@@ -99,7 +99,7 @@
 	return w.clock + now.Sub(w.clockAt)
 }
 
-// leasesExpiredBy returns when every lease that this leader requested has certainly expired.
+// leasesExpiredBy returns when every lease on a fenced worker has certainly expired.
 func (w *worker) leasesExpiredBy() time.Time {
 	left := max(0, w.leaseEnd-w.clock)
 	return w.clockAt.Add(time.Duration(float64(left)*(1+clockSkew)) + leaseExpiryMargin)
--- a/spec/dispatch.pml
+++ b/spec/dispatch.pml
@@ -12,7 +12,8 @@
  * the workers), NO_REGISTRY (a worker gets starts before it is registered), RELEASE_ON_SILENCE (the runs of an
  * unresponsive worker are placed again before their leases have ended), ACK_BEFORE_COMMIT (ends are acknowledged before
  * their progress is stored), STOP_IS_GONE (a run counts as gone once its stop was sent, before the worker's inventory
- * shows it).
+ * shows it), IGNORE_INHERITED_LEASE (leader 2 places the run of an unresponsive worker again without waiting for the
+ * leases that leader 1 has renewed there).
  */
 #define WORKERS 2
 #define PICK_WORKER(w) if :: w = 0 :: w = 1 fi
@@ -50,6 +51,8 @@
 
 bool orders_stopped;  /* leader 1 sends no more orders */
 bool leases_expired;  /* all leases that leader 1 gave have ended, and workers refuse its orders as late */
+bool inherited_lease_ended[WORKERS];  /* a run of leader 1 on a worker that leader 2 has fenced lost its lease */
+bool renewed[WORKERS];                /* leader 2 renews the leases on the worker */
 
 active proctype environment() {
   byte w;
@@ -74,6 +77,19 @@
           w++
        :: else -> break
        od }
+  /* The lease that leader 1 gave ends on a worker that leader 2 has fenced, but not renewed since. */
+  :: PICK_WORKER(w);
+     d_step {
+       if
+       :: highest_epoch[w] == 2 && !renewed[w] && running_epoch[w] != 2 && !inherited_lease_ended[w] ->
+          inherited_lease_ended[w] = true;
+          if :: running_epoch[w] == 1 -> running_epoch[w] = 0 :: else -> skip fi;
+          if
+          :: unacknowledged_end[w] && !end_stored -> unacknowledged_end[w] = false; ended = false
+          :: else -> skip
+          fi
+       :: else -> skip
+       fi }
   /* A start takes effect, or is lost. */
   :: PICK_WORKER(w);
      d_step {
@@ -159,6 +175,7 @@
 
 active proctype leader_2() {
   bool accounted[WORKERS], end_known;
+  bool started;
   byte w, place = 2;  /* place 2: no run is known */
   /* The election prevents further commits by leader 1. */
   d_step { elected_epoch = 2; end_known = end_stored };
@@ -175,11 +192,18 @@
   :: PICK_WORKER(w); d_step { if :: orders_stopped && leases_expired -> accounted[w] = true :: else -> skip fi }
 #endif
   :: d_step { place < 2 && unacknowledged_end[place] -> end_known = true }
+  :: place < 2 && !started -> renewed[place] = true
+  /* Leader 2 gives up the run of a worker that has stopped answering. */
+#ifdef IGNORE_INHERITED_LEASE
+  :: d_step { place < 2 && !started && !end_known && !renewed[place] -> place = 2 }
+#else
+  :: d_step { place < 2 && !started && !end_known && inherited_lease_ended[place] -> place = 2 }
+#endif
   /* The leader starts the task on a worker that has adopted the new epoch. */
   :: atomic { !end_known && place == 2 && ALL_ACCOUNTED ->
           if
-          :: highest_epoch[0] == 2 -> place = 0; START_IN_FLIGHT(2, place) = true
-          :: highest_epoch[1] == 2 -> place = 1; START_IN_FLIGHT(2, place) = true
+          :: highest_epoch[0] == 2 -> place = 0; started = true; START_IN_FLIGHT(2, place) = true
+          :: highest_epoch[1] == 2 -> place = 1; started = true; START_IN_FLIGHT(2, place) = true
           :: else -> skip
           fi }
   :: break
