Place lost long-running tasks before all other work

A long-running task that lost its worker queued behind short jobs for 3 s, and then at most two workers were kept free for all of them, so that a backlog of short tasks took the room that became free. Tasks that have run before, and those that an earlier leader may have started, now go first in each pass, gangs included, and as many workers are kept free as the tasks need once the short tasks there end, up to a quarter of the fleet.

--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -67,6 +67,8 @@
 	checkpoint job.Checkpoint
 	runs       []*run
 	readySince time.Time
+	// hasRun is set once a run of the task has ended that its worker had confirmed.
+	hasRun bool
 	// lastFailedOn is the worker of the latest run that failed, or nil.
 	lastFailedOn *worker
 }
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -280,4 +280,5 @@
 		t.runs = slices.Delete(t.runs, at, at+1)
 	}
 	t.readySince = now
+	t.hasRun = t.hasRun || r.phase != starting
 }
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -16,11 +16,6 @@
 	// passInterval is the minimum time to the next pass after one that left tasks unplaced. With a backlog, a pass
 	// examines many tasks, and every end of a run requests one.
 	passInterval = 40 * time.Millisecond
-	// longRunningMaxWait is how long a long-running task waits behind short jobs. One that lost its worker must run
-	// again within 6 s if there is room anywhere.
-	longRunningMaxWait = 3 * time.Second
-	// maxReservedWorkers limits the workers that are kept free at a time.
-	maxReservedWorkers = 2
 	// maxUnplacedSteps is the number of unplaced steps at which a pass ends. The jobs that remain are less urgent.
 	maxUnplacedSteps = 40
 )
@@ -32,7 +27,7 @@
 	for _, j := range d.openJobs {
 		j.updateValue(now)
 	}
-	p.placeStarved()
+	p.placeUrgent()
 	p.placeJobs(false)
 	p.placeJobs(true)
 	if p.unplacedSteps > 0 {
@@ -52,7 +47,7 @@
 	// rejectedKinds are the kinds of best-effort work that no worker accepted in this pass. Further tasks of these
 	// kinds wait for the next pass.
 	rejectedKinds map[bestEffortKind]bool
-	// reserved are workers kept free for long-running tasks that have waited too long.
+	// reserved are workers kept free for urgent tasks.
 	reserved map[*worker]bool
 	// forecasts caches the forecast of each worker until something is placed on it.
 	forecasts map[*worker]*workerForecast
@@ -79,61 +74,6 @@
 	}
 }
 
-// placeStarved places long-running tasks that have waited for longer than longRunningMaxWait before all others, and
-// reserves workers for those that find no room.
-func (p *pass) placeStarved() {
-	var unplaced []*task
-	for _, j := range p.d.openJobs {
-		if !j.LongRunning() || !p.d.mayPlace(j) {
-			continue
-		}
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				unplaced = append(unplaced, p.placeStarvedTasks(s, p.d.routes[j.Queue])...)
-			}
-		}
-	}
-	// Workers are reserved only after all tasks were tried: a smaller task may fit where a larger one does not.
-	for _, t := range unplaced[:min(len(unplaced), maxReservedWorkers)] {
-		p.reserveWorker(t, p.d.routes[t.owner.Queue])
-	}
-}
-
-// placeStarvedTasks places the tasks of a long-running step that have waited for longer than longRunningMaxWait, and
-// returns those that find no room.
-func (p *pass) placeStarvedTasks(s *step, route job.Route) (unplaced []*task) {
-	if !s.LongRunning || s.Gang || s.pendingDependencies > 0 {
-		return nil
-	}
-	for _, t := range s.tasks {
-		if len(t.runs) > 0 || p.now.Sub(t.readySince) < longRunningMaxWait || p.d.mayBeRunning(t) {
-			continue
-		}
-		if w := p.chooseWorker(t, route); w != nil {
-			p.start(t, w)
-		} else {
-			unplaced = append(unplaced, t)
-		}
-	}
-	return unplaced
-}
-
-// reserveWorker reserves the worker with the most free CPU: in this pass it takes no other tasks than best-effort
-// ones.
-func (p *pass) reserveWorker(t *task, route job.Route) {
-	var best *worker
-	for _, w := range p.d.sortedWorkers {
-		if !p.reserved[w] && p.acceptsStarts(w, route) && p.meetsConstraints(t, w) &&
-			reservedSize(t.step).FitsIn(w.Capacity) &&
-			(best == nil || w.free().CPUMillis > best.free().CPUMillis) {
-			best = w
-		}
-	}
-	if best != nil {
-		p.reserved[best] = true
-	}
-}
-
 // logLongWait logs once per step that one of its tasks has waited for longer than bestEffortMaxWait, and why no
 // worker was found.
 func (p *pass) logLongWait(t *task, route job.Route) {
--- /dev/null
+++ b/internal/coordination/dispatch/urgent.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
+	"github.com/jujubearch/jujubearch/internal/state/model"
+)
+
+const (
+	// longRunningMaxWait is how long a new long-running task waits behind short jobs.
+	longRunningMaxWait = 3 * time.Second
+	// minReservedWorkers and maxReservedShare limit the workers that are kept free at a time, as a number in small
+	// fleets and as a share of the workers in large ones.
+	minReservedWorkers = 2
+	maxReservedShare   = 0.25
+)
+
+// isUrgent reports whether a long-running task goes before all other work: its users have lost it, because its run
+// ended or because an earlier leader may have started it, or it has waited for long enough.
+func (p *pass) isUrgent(t *task) bool {
+	return t.hasRun || !t.owner.sinceTakeover || p.now.Sub(t.readySince) >= longRunningMaxWait
+}
+
+// placeUrgent places urgent long-running tasks before all others, and reserves workers for those that find no room.
+func (p *pass) placeUrgent() {
+	var unplaced []*task
+	for _, j := range p.d.openJobs {
+		if !j.LongRunning() || !p.d.mayPlace(j) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.LongRunning && s.pendingDependencies == 0 {
+					unplaced = append(unplaced, p.placeUrgentTasks(s, p.d.routes[j.Queue])...)
+				}
+			}
+		}
+	}
+	// Workers are reserved only after all tasks were tried: a smaller task may fit where a larger one does not.
+	p.reserveWorkers(unplaced)
+}
+
+// placeUrgentTasks places the urgent tasks of a step and returns those that find no room. A gang is placed whole.
+func (p *pass) placeUrgentTasks(s *step, route job.Route) (unplaced []*task) {
+	for _, t := range s.tasks {
+		if len(t.runs) > 0 || !p.isUrgent(t) || p.d.mayBeRunning(t) {
+			continue
+		}
+		if s.Gang {
+			p.placeGang(s, route)
+			if len(t.runs) > 0 {
+				return nil
+			}
+			return s.tasks
+		}
+		if w := p.chooseWorker(t, route); w != nil {
+			p.start(t, w)
+		} else {
+			unplaced = append(unplaced, t)
+		}
+	}
+	return unplaced
+}
+
+// reserveWorkers keeps workers free for urgent tasks without room: in this pass they take no other tasks than
+// best-effort ones. It reserves as many as the tasks need once the short tasks there have ended.
+func (p *pass) reserveWorkers(tasks []*task) {
+	limit := max(minReservedWorkers, int(maxReservedShare*float64(len(p.d.sortedWorkers))))
+	room := make(map[*worker]model.Resources)
+	for _, t := range tasks {
+		route, size := p.d.routes[t.owner.Queue], reservedSize(t.step)
+		w := p.reservedWorkerFor(t, room)
+		if w == nil && len(p.reserved) < limit {
+			if w = p.workerToReserve(t, route); w != nil {
+				p.reserved[w] = true
+				room[w] = w.roomForLongRunning()
+			}
+		}
+		if w != nil {
+			room[w] = room[w].Sub(size)
+		}
+	}
+}
+
+// reservedWorkerFor returns a reserved worker that will have room for a task beside those that it is reserved for.
+func (p *pass) reservedWorkerFor(t *task, room map[*worker]model.Resources) *worker {
+	for _, w := range p.d.sortedWorkers {
+		if p.reserved[w] && reservedSize(t.step).FitsIn(room[w]) && p.meetsConstraints(t, w) {
+			return w
+		}
+	}
+	return nil
+}
+
+// workerToReserve returns the worker with the most free CPU among those that a task fits on beside the long-running
+// tasks there, or nil.
+func (p *pass) workerToReserve(t *task, route job.Route) *worker {
+	var best *worker
+	for _, w := range p.d.sortedWorkers {
+		if !p.reserved[w] && (best == nil || w.free().CPUMillis > best.free().CPUMillis) &&
+			p.acceptsStarts(w, route) && p.meetsConstraints(t, w) &&
+			reservedSize(t.step).FitsIn(w.roomForLongRunning()) {
+			best = w
+		}
+	}
+	return best
+}
+
+// roomForLongRunning returns the capacity of a worker that its long-running tasks leave.
+func (w *worker) roomForLongRunning() model.Resources {
+	room := w.Capacity
+	for _, r := range w.orderedRuns {
+		if r.task != nil && r.task.step.LongRunning {
+			room = room.Sub(r.size)
+		}
+	}
+	return room
+}
