Merge queued events of the scheduler into one step

Each event of the control actor led to a placement pass, a look at all workers for due holds and a publication of the view. Events that are queued when the actor runs are now one step.

--- a/internal/coordination/dispatch/bench_test.go
+++ b/internal/coordination/dispatch/bench_test.go
@@ -40,7 +40,7 @@
 
 // BenchmarkPassWithBacklog measures a pass over a backlog for which few workers are found.
 func BenchmarkPassWithBacklog(b *testing.B) {
-	for _, workers := range []int{50, 350} {
+	for _, workers := range []int{50, 350, 1100} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			e := loadedEmulator(workers, 100)
 			sim := e.sim
--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -21,6 +21,15 @@
 // Tick triggers the work that depends on time alone, such as timeouts and retries.
 type Tick struct{}
 
+// Batch is a sequence of events, after which decisions are made once.
+type Batch []Event
+
+func (b Batch) apply(c *Core, now time.Time) {
+	for _, ev := range b {
+		ev.apply(c, now)
+	}
+}
+
 // ConfigRead is the result of WatchConfig.
 type ConfigRead struct {
 	Config   job.Configuration
--- a/internal/transport/actorloop/loop.go
+++ b/internal/transport/actorloop/loop.go
@@ -2,6 +2,7 @@
 // view of the core's state for other goroutines and executes the core's actions on goroutines of their own.
 //
 // Guarantees: only the actor's goroutine calls the core, and it never blocks. The number of queued events is bounded.
+// Events are passed to the core in the order in which they were queued.
 package actorloop
 
 import (
@@ -44,6 +45,9 @@
 	// Perform executes an action on a goroutine of its own and may block. It returns the event with the result; false
 	// means that there is none.
 	Perform func(ctx context.Context, action A) (E, bool)
+	// Merge, if not nil, returns one event that stands for several queued ones, so that the core makes its decisions
+	// once for all of them. It gets at least two events.
+	Merge func([]E) E
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
 	// Tick returns the event to send every Interval.
@@ -60,16 +64,23 @@
 	// mailboxSlots holds an element for each queued event and so bounds the mailbox. Protoactor's own bounded mailbox
 	// would busy-wait while it is full.
 	mailboxSlots chan struct{}
-	ctx          context.Context
-	cancel       context.CancelFunc
-	goroutines   sync.WaitGroup
-	stopOnce     sync.Once
+	queueMu      sync.Mutex
+	// queue holds the events that the actor has not taken yet. While it is not empty, an eventsQueued message is on its
+	// way to the actor.
+	queue      []E
+	ctx        context.Context
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
+	stopOnce   sync.Once
 
 	repliesMu   sync.Mutex
 	replies     map[uint64]chan Reply
 	lastReplyID uint64
 }
 
+// eventsQueued is the message that tells the actor to take the queued events.
+type eventsQueued struct{}
+
 // Start starts the actor and its timer.
 func Start[E, A, V any](o Options[E, A, V]) *Loop[E, A, V] {
 	if o.Clock == nil {
@@ -111,15 +122,38 @@
 	case <-l.ctx.Done():
 		return verdict.NotRunError("the process is stopping", l.ctx.Err())
 	}
-	l.system.Root.Send(l.pid, ev)
+	l.enqueue(ev)
 	return nil
 }
 
+// enqueue queues an event, for which a slot is taken, and wakes the actor if the queue was empty.
+func (l *Loop[E, A, V]) enqueue(ev E) {
+	l.queueMu.Lock()
+	wasEmpty := len(l.queue) == 0
+	l.queue = append(l.queue, ev)
+	l.queueMu.Unlock()
+	if wasEmpty {
+		l.system.Root.Send(l.pid, eventsQueued{})
+	}
+}
+
+// takeQueue returns the queued events and frees their slots.
+func (l *Loop[E, A, V]) takeQueue() []E {
+	l.queueMu.Lock()
+	events := l.queue
+	l.queue = nil
+	l.queueMu.Unlock()
+	for range events {
+		<-l.mailboxSlots
+	}
+	return events
+}
+
 // TrySend queues an event unless the mailbox is full, and reports whether it did.
 func (l *Loop[E, A, V]) TrySend(ev E) bool {
 	select {
 	case l.mailboxSlots <- struct{}{}:
-		l.system.Root.Send(l.pid, ev)
+		l.enqueue(ev)
 		return true
 	default:
 		return false
@@ -201,17 +235,21 @@
 	}
 }
 
-// receive processes one message of the actor. Once the loop is running, only receive uses the core.
+// receive processes the queued events. Once the loop is running, only receive uses the core.
 func (l *Loop[E, A, V]) receive(ctx actor.Context) {
-	ev, ok := ctx.Message().(E)
-	if !ok {
+	if _, ok := ctx.Message().(eventsQueued); !ok {
 		return
 	}
-	<-l.mailboxSlots
-	actions := l.options.Core.Step(l.options.Clock(), ev)
-	l.view.Store(l.options.Core.Snapshot())
-	for _, action := range actions {
-		l.perform(action)
+	events := l.takeQueue()
+	if l.options.Merge != nil && len(events) > 1 {
+		events = []E{l.options.Merge(events)}
+	}
+	for _, ev := range events {
+		actions := l.options.Core.Step(l.options.Clock(), ev)
+		l.view.Store(l.options.Core.Snapshot())
+		for _, action := range actions {
+			l.perform(action)
+		}
 	}
 }
 
--- a/internal/transport/jobs/host.go
+++ b/internal/transport/jobs/host.go
@@ -23,7 +23,8 @@
 	executor.Store = &ReportingStore{store: executor.Store, notifyCore: a.notifyCore}
 	a.Loop = actorloop.Start(actorloop.Options[scheduler.Event, scheduler.Action, scheduler.View]{
 		Core: scheduler.New(settings, random), ReplyOf: replyOf, Inline: executor.Inline, Perform: executor.Perform,
-		Tick: func() scheduler.Event { return scheduler.Tick{} }, Interval: scheduler.TickInterval,
+		Merge: func(events []scheduler.Event) scheduler.Event { return scheduler.Batch(events) },
+		Tick:  func() scheduler.Event { return scheduler.Tick{} }, Interval: scheduler.TickInterval,
 	})
 	return a, a.Send(ctx, scheduler.Start{})
 }
