Place tasks without walking over what has not changed

A pass looked at every task of every open job, and forecast every worker anew for each best-effort task; each event looked at every worker for due holds and for ends to acknowledge.

A commit that was in flight while a worker restarted no longer lets ends of the new boot be acknowledged by numbers of the old one.

--- a/internal/coordination/dispatch/bench_test.go
+++ b/internal/coordination/dispatch/bench_test.go
@@ -84,6 +84,9 @@
 		len(p.rejectedKinds))
 	// A rejected kind is not scored again while its tasks can wait.
 	again := d.newPass(sim.now)
+	for _, w := range d.sortedWorkers {
+		w.forecast = nil
+	}
 	again.rejectedKinds = p.rejectedKinds
 	for _, j := range d.openJobs {
 		for _, t := range j.occurrences[0].steps[0].tasks {
@@ -93,5 +96,7 @@
 			}
 		}
 	}
-	assert.Equal(t, len(again.forecasts), 0)
+	for _, w := range d.sortedWorkers {
+		assert.Assert(t, w.forecast == nil, "%s was scored again", w.ID)
+	}
 }
--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -37,9 +37,17 @@
 	recordRevision model.Revision
 	nextID         uint64
 	dirtyJobs      []*jobState
-	inFlight       *batch
-	nextAt         time.Time
-	backoff        time.Duration
+	// workersWithEnds are the workers with processed ends that no batch covers yet.
+	workersWithEnds []*worker
+	inFlight        *batch
+	nextAt          time.Time
+	backoff         time.Duration
+}
+
+// processedEnds are the ends up to a sequence number that one boot of a worker has listed.
+type processedEnds struct {
+	sequence int64
+	boot     job.BootID
 }
 
 // batch is a commit in flight.
@@ -50,7 +58,7 @@
 	phases      []job.Phase
 	// processedEnds holds for each worker the highest sequence number of an end that may be acknowledged once the
 	// batch is committed.
-	processedEnds map[*worker]int64
+	processedEnds map[*worker]processedEnds
 	registry      []job.RegisteredWorker
 	removedJobs   []*jobState
 	// sentAt is zero while the batch waits to be sent again.
@@ -85,7 +93,7 @@
 // nextBatch collects what has to be written, and returns nil if there is nothing.
 func (d *Dispatcher) nextBatch(now time.Time) *batch {
 	c := &d.commits
-	b := &batch{processedEnds: make(map[*worker]int64)}
+	b := &batch{processedEnds: make(map[*worker]processedEnds)}
 	if len(c.dirtyJobs) > 0 || d.registry.dirty {
 		b.removedJobs = d.takeExpiredJobs(now)
 	}
@@ -93,11 +101,11 @@
 	b.jobs = slices.Clone(c.dirtyJobs[:count])
 	c.dirtyJobs = slices.Delete(c.dirtyJobs, 0, count)
 	if len(c.dirtyJobs) == 0 {
-		for _, w := range d.sortedWorkers {
-			if w.lastProcessedEnd > w.lastCommittedEnd {
-				b.processedEnds[w] = w.lastProcessedEnd
-			}
+		for _, w := range c.workersWithEnds {
+			w.endsListed = false
+			b.processedEnds[w] = processedEnds{w.lastProcessedEnd, w.Boot}
 		}
+		c.workersWithEnds = nil
 	}
 	if len(b.jobs) == 0 && !d.registry.dirty {
 		// Ends that changed nothing durable need no commit.
@@ -248,9 +256,9 @@
 
 // acknowledgeEnds lets the next holds acknowledge the ends whose progress is committed.
 func (d *Dispatcher) acknowledgeEnds(b *batch) {
-	for w, sequence := range b.processedEnds {
-		if !w.dead && sequence <= w.lastProcessedEnd {
-			w.lastCommittedEnd = max(w.lastCommittedEnd, sequence)
+	for w, ends := range b.processedEnds {
+		if !w.dead && ends.boot == w.Boot {
+			w.lastCommittedEnd = max(w.lastCommittedEnd, ends.sequence)
 		}
 	}
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -61,6 +61,8 @@
 	workers   map[model.WorkerID]*worker
 	// sortedWorkers is ordered by worker id, so that equal inputs lead to equal decisions.
 	sortedWorkers []*worker
+	// withoutHold are the workers that have no hold in flight.
+	withoutHold []*worker
 	// registered are the workers named in the store's registry. A dead worker is removed once the registry no longer
 	// names it.
 	registered map[model.WorkerID]bool
@@ -68,6 +70,7 @@
 
 	recovery         recovery
 	interference     interferenceModel
+	stepKinds        map[stepKind]int
 	opportunityCosts opportunityCosts
 	commits          committer
 	actions          []Action
@@ -92,7 +95,7 @@
 		settings: settings, epoch: epoch, lastRun: job.RunNumber(epoch) << runBits,
 		routes: make(map[job.Queue]job.Route), jobs: make(map[job.ID]*jobState),
 		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
-		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(),
+		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
 	}
 }
 
--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -61,6 +61,7 @@
 // task.
 func (d *Dispatcher) finishTask(now time.Time, t *task) {
 	t.done = true
+	t.updateWaiting()
 	for _, r := range t.runs {
 		d.stopRun(r, "task-done")
 	}
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -11,15 +11,19 @@
 
 // sendDueHolds sends a hold to each worker that has none in flight, if it is due.
 func (d *Dispatcher) sendDueHolds(now time.Time) {
-	for _, w := range d.sortedWorkers {
-		if w.holdInFlight || w.dead || now.Before(w.nextHold) {
-			continue
-		}
-		if w.lastProcessedEnd > w.lastCommittedEnd && now.Sub(w.answeredAt) < holdIntervalUncommitted {
-			continue
+	waiting := d.withoutHold[:0]
+	for _, w := range d.withoutHold {
+		switch {
+		case w.dead:
+		case now.Before(w.nextHold),
+			w.lastProcessedEnd > w.lastCommittedEnd && now.Sub(w.answeredAt) < holdIntervalUncommitted:
+			waiting = append(waiting, w)
+		default:
+			d.sendHold(now, w)
 		}
-		d.sendHold(now, w)
 	}
+	clear(d.withoutHold[len(waiting):])
+	d.withoutHold = waiting
 }
 
 func (d *Dispatcher) sendHold(now time.Time, w *worker) {
@@ -71,6 +75,9 @@
 	if !ok || w.dead {
 		return
 	}
+	if w.holdInFlight {
+		d.withoutHold = append(d.withoutHold, w)
+	}
 	w.holdInFlight, w.answeredPromptly = false, false
 	w.nextHold = now.Add(holdRetryInterval)
 	switch {
@@ -95,7 +102,7 @@
 		w.deliveredAcknowledgement = max(w.deliveredAcknowledgement, w.sentAcknowledgement)
 	}
 	w.Boot = max(w.Boot, inv.Boot)
-	w.clock, w.clockAt, w.answeredAt = inv.Clock, now, now
+	w.clock, w.clockAt, w.answeredAt, w.forecast = inv.Clock, now, now, nil
 	// An answer that was read late, because this process was paused, does not show that the worker has not restarted
 	// since.
 	w.answeredPromptly = model.Elapsed(sent, now) <= w.requestedWait+acknowledgeWindow
@@ -111,6 +118,10 @@
 			d.recordEnd(now, w, e)
 		}
 	}
+	if w.lastProcessedEnd > w.lastCommittedEnd && !w.endsListed {
+		w.endsListed = true
+		d.commits.workersWithEnds = append(d.commits.workersWithEnds, w)
+	}
 	d.reconcileRuns(now, sent, w, inv.Running)
 	if !w.fenced {
 		// An earlier leader may have renewed the leases up to the moment at which the worker was fenced.
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -25,6 +25,8 @@
 	// work against the harm to serving tasks. Both are updated at each placement pass.
 	late      bool
 	workValue float64
+	// waiting counts the tasks, also of steps that wait for others, that are neither done nor have a run.
+	waiting int
 	// endedAt is when the final phase was committed.
 	endedAt time.Time
 	dirty   bool
@@ -43,6 +45,10 @@
 	index     int
 	tasks     []*task
 	tasksLeft int
+	// waiting counts the tasks that are neither done nor have a run.
+	waiting int
+	// kind is the index of the estimates for best-effort tasks of this step, plus 1; 0 before the first use.
+	kind int
 	// pendingDependencies counts the earlier steps that are not done.
 	pendingDependencies int
 	// dependents are the steps that wait for this one.
@@ -66,6 +72,8 @@
 	failedRuns []job.RunNumber
 	checkpoint job.Checkpoint
 	runs       []*run
+	// waiting is set while the task is neither done nor has a run; it is counted in its step and job.
+	waiting    bool
 	readySince time.Time
 	// hasRun is set once a run of the task has ended that its worker had confirmed.
 	hasRun bool
@@ -106,7 +114,7 @@
 	if progress != nil {
 		d.restoreProgress(state, progress, now)
 	}
-	d.openDueOccurrences(now)
+	d.openDueOccurrencesOf(state, now)
 	d.passNeeded = true
 }
 
@@ -172,6 +180,7 @@
 				readySince: now,
 			}
 			s.tasks = append(s.tasks, t)
+			t.updateWaiting()
 		}
 		for _, dependency := range slices.Compact(slices.Sorted(slices.Values(s.After))) {
 			s.pendingDependencies++
@@ -186,14 +195,34 @@
 // openDueOccurrences opens the scheduled occurrences that are due.
 func (d *Dispatcher) openDueOccurrences(now time.Time) {
 	for _, j := range d.openJobs {
-		for j.phase == job.Queued && len(j.occurrences) < j.Times {
-			number := len(j.occurrences)
-			if now.Round(0).Before(j.First.Add(time.Duration(number) * j.Interval)) {
-				break
-			}
-			d.openOccurrence(j, number, now)
+		d.openDueOccurrencesOf(j, now)
+	}
+}
+
+func (d *Dispatcher) openDueOccurrencesOf(j *jobState, now time.Time) {
+	for j.phase == job.Queued && len(j.occurrences) < j.Times {
+		number := len(j.occurrences)
+		if now.Round(0).Before(j.First.Add(time.Duration(number) * j.Interval)) {
+			break
 		}
+		d.openOccurrence(j, number, now)
+	}
+}
+
+// updateWaiting updates the counts of waiting tasks. It is called after each change of whether the task is done or has
+// runs.
+func (t *task) updateWaiting() {
+	waiting := !t.done && len(t.runs) == 0
+	if waiting == t.waiting {
+		return
+	}
+	t.waiting = waiting
+	change := -1
+	if waiting {
+		change = 1
 	}
+	t.step.waiting += change
+	t.owner.waiting += change
 }
 
 // restoreProgress applies progress that an earlier leader committed.
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -91,6 +91,7 @@
 	w.add(r)
 	w.used = w.used.Add(r.size)
 	t.runs = append(t.runs, r)
+	t.updateWaiting()
 	d.logEvent(notice.RunPlaced, Attr{Key: "job", Value: t.Job}, Attr{Key: "task", Value: t.String()},
 		Attr{Key: "run", Value: number}, Attr{Key: "worker", Value: w.ID},
 		Attr{Key: "waited", Value: now.Sub(t.readySince)}, Attr{Key: "inventory_age", Value: now.Sub(w.answeredAt)},
@@ -101,6 +102,7 @@
 func (w *worker) add(r *run) {
 	w.runs[r.Run] = r
 	w.orderedRuns = append(w.orderedRuns, r)
+	w.forecast = nil
 }
 
 func (d *Dispatcher) sendStart(now time.Time, r *run) {
@@ -186,6 +188,7 @@
 	}
 	d.logEvent(notice.RunStopped, Attr{Key: "task", Value: r.Task.String()}, Attr{Key: "run", Value: r.Number},
 		Attr{Key: "worker", Value: r.worker.ID}, Attr{Key: "reason", Value: reason})
+	r.worker.forecast = nil
 	r.phase, r.confirmedAt, r.stopConfirmed = stopping, time.Time{}, false
 	d.sendStop(r)
 }
@@ -250,6 +253,7 @@
 		if t := j.findTask(key.Task.Key()); t != nil {
 			r.task, r.size = t, reservedSize(t.step)
 			t.runs = append(t.runs, r)
+			t.updateWaiting()
 			w.used = w.used.Add(r.size)
 		}
 	}
@@ -265,6 +269,7 @@
 // releaseRun removes a run that is proved gone and makes its task ready again.
 func (d *Dispatcher) releaseRun(now time.Time, r *run) {
 	w := r.worker
+	w.forecast = nil
 	w.recordEndedUse(now, r)
 	delete(w.runs, r.Run)
 	if at := slices.Index(w.orderedRuns, r); at >= 0 {
@@ -278,6 +283,7 @@
 	}
 	if at := slices.Index(t.runs, r); at >= 0 {
 		t.runs = slices.Delete(t.runs, at, at+1)
+		t.updateWaiting()
 	}
 	t.readySince = now
 	t.hasRun = t.hasRun || r.phase != starting
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -49,8 +49,6 @@
 	rejectedKinds map[bestEffortKind]bool
 	// reserved are workers kept free for urgent tasks.
 	reserved map[*worker]bool
-	// forecasts caches the forecast of each worker until something is placed on it.
-	forecasts map[*worker]*workerForecast
 }
 
 // bestEffortKind holds what decides whether a worker accepts best-effort work. Sizes are left out because they differ
@@ -69,7 +67,7 @@
 
 func (d *Dispatcher) newPass(now time.Time) *pass {
 	return &pass{
-		d: d, now: now, forecasts: make(map[*worker]*workerForecast), reserved: make(map[*worker]bool),
+		d: d, now: now, reserved: make(map[*worker]bool),
 		rejectedKinds: make(map[bestEffortKind]bool),
 	}
 }
@@ -97,7 +95,6 @@
 
 func (p *pass) start(t *task, w *worker) {
 	p.d.startTask(p.now, t, w, p.d.nextRun())
-	delete(p.forecasts, w)
 }
 
 // placeJobs places the tasks either of late jobs or of all others. place calls it for the others first: they can still
@@ -107,7 +104,7 @@
 		if p.unplacedSteps >= maxUnplacedSteps {
 			return
 		}
-		if j.late == late && p.d.mayPlace(j) {
+		if j.waiting > 0 && j.late == late && p.d.mayPlace(j) {
 			p.placeJob(j)
 		}
 	}
@@ -120,7 +117,7 @@
 			continue
 		}
 		for _, s := range o.steps {
-			if s.tasksLeft > 0 && s.pendingDependencies == 0 {
+			if s.waiting > 0 && s.pendingDependencies == 0 {
 				p.placeStep(s, route)
 			}
 		}
@@ -133,7 +130,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || p.d.mayBeRunning(t) {
+		if !t.waiting || p.d.mayBeRunning(t) {
 			continue
 		}
 		w := p.chooseWorker(t, route)
--- a/internal/coordination/dispatch/rate.go
+++ b/internal/coordination/dispatch/rate.go
@@ -44,18 +44,9 @@
 // bestEffortScore scores a worker for a best-effort task: the gain, less the headroom that the serving tasks there
 // lose, less the opportunity cost for other images.
 func (p *pass) bestEffortScore(t *task, w *worker) (score float64, accepted bool) {
-	gain, loss := p.d.bestEffortGain(p.forecast(w), w, t.step, t.owner.workValue)
-	return gain - loss - p.d.opportunityCost(w, t.step.Image),
-		gain >= minAcceptedGain*t.owner.workValue && loss <= maxAcceptedLoss
-}
-
-func (p *pass) forecast(w *worker) *workerForecast {
-	forecast := p.forecasts[w]
-	if forecast == nil {
-		forecast = p.d.forecastFor(p.now, w)
-		p.forecasts[w] = forecast
-	}
-	return forecast
+	e := p.d.estimateFor(p.now, w, t.step)
+	gain := t.owner.workValue*e.speed - e.cost
+	return gain - e.loss - e.opportunityCost, gain >= minAcceptedGain*t.owner.workValue && e.loss <= maxAcceptedLoss
 }
 
 // leavesMemory reports whether a worker with a further best-effort task would still have the memory that other tasks
--- a/internal/coordination/dispatch/risk.go
+++ b/internal/coordination/dispatch/risk.go
@@ -45,62 +45,12 @@
 	return min(max(0.5-margin/(2*marginError), 0), 1)
 }
 
-// workerForecast is what one placement pass expects of a worker.
-type workerForecast struct {
-	// unusedCores are the cores that its tasks leave unused.
-	unusedCores float64
-	neighbours  []neighbour
-}
-
-// forecastFor computes the forecast of a worker.
-func (d *Dispatcher) forecastFor(now time.Time, w *worker) *workerForecast {
-	forecast := &workerForecast{unusedCores: w.unusedCores()}
-	var bestEffort imageShares
-	for _, r := range w.orderedRuns {
-		if r.task != nil && r.task.step.BestEffort && r.phase != stopping {
-			bestEffort.add(r.task.step.Image, cpuShare(r.task.step.Size, w))
-		}
-	}
-	for _, r := range w.orderedRuns {
-		if r.task == nil || r.task.step.TailLatencyTarget <= 0 || r.phase == stopping {
-			continue
-		}
-		n := neighbour{image: r.task.step.Image, margin: r.marginAt(r.task.step.load.sustained(now))}
-		for _, s := range bestEffort {
-			n.margin -= d.cautiousSlope(n.image, s.image) * s.share
-		}
-		forecast.neighbours = append(forecast.neighbours, n)
-	}
-	return forecast
-}
-
 // cautiousSlope returns the slope of a pair of images plus an allowance for its error.
 func (d *Dispatcher) cautiousSlope(serving, bestEffort string) float64 {
 	slope, stdError := d.interference.slopeOf(serving, bestEffort)
 	return slope + slopeErrorFactor*stdError
 }
 
-// bestEffortGain returns the gain of placing a further best-effort task on a worker, in units of its work at full
-// pace: the value of the CPU that it gets less the cost to its neighbours. loss is the headroom that it takes from
-// all of them.
-func (d *Dispatcher) bestEffortGain(
-	forecast *workerForecast, w *worker, bestEffort *step, value float64,
-) (gain, loss float64) {
-	share := cpuShare(bestEffort.Size, w)
-	if share <= 0 {
-		return value, 0
-	}
-	speed := min(max(forecast.unusedCores, 0)/(float64(bestEffort.Size.CPUMillis)/millisPerCore), 1)
-	cost := 0.0
-	for _, n := range forecast.neighbours {
-		headroomLoss := d.cautiousSlope(n.image, bestEffort.Image) * share
-		loss += headroomLoss
-		cost += placementViolationCost *
-			(violationRisk(n.margin-headroomLoss, placementMarginError) - violationRisk(n.margin, placementMarginError))
-	}
-	return value*speed - cost/share, loss
-}
-
 // updateValue updates whether a job is late and what its work is worth. The value is low once the job is late. For an
 // urgent job it rises as less work is left, because the whole job is late if its last task is.
 func (j *jobState) updateValue(now time.Time) {
--- a/internal/coordination/dispatch/urgent.go
+++ b/internal/coordination/dispatch/urgent.go
@@ -26,12 +26,12 @@
 func (p *pass) placeUrgent() {
 	var unplaced []*task
 	for _, j := range p.d.openJobs {
-		if !j.LongRunning() || !p.d.mayPlace(j) {
+		if j.waiting == 0 || !j.LongRunning() || !p.d.mayPlace(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.LongRunning && s.pendingDependencies == 0 {
+				if s.LongRunning && s.waiting > 0 && s.pendingDependencies == 0 {
 					unplaced = append(unplaced, p.placeUrgentTasks(s, p.d.routes[j.Queue])...)
 				}
 			}
@@ -44,7 +44,7 @@
 // placeUrgentTasks places the urgent tasks of a step and returns those that find no room. A gang is placed whole.
 func (p *pass) placeUrgentTasks(s *step, route job.Route) (unplaced []*task) {
 	for _, t := range s.tasks {
-		if len(t.runs) > 0 || !p.isUrgent(t) || p.d.mayBeRunning(t) {
+		if !t.waiting || !p.isUrgent(t) || p.d.mayBeRunning(t) {
 			continue
 		}
 		if s.Gang {
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -59,6 +59,8 @@
 	// committed, the one that the hold in flight acknowledges, and the highest one that the worker is known to have
 	// got an acknowledgement of.
 	lastProcessedEnd, lastCommittedEnd, sentAcknowledgement, deliveredAcknowledgement int64
+	// endsListed is set while the worker is in the committer's workersWithEnds.
+	endsListed bool
 	// requestedWait is how long the hold in flight lets the worker delay its answer.
 	requestedWait time.Duration
 	// answeredPromptly is set if the last hold was answered so promptly that the worker can't have restarted since it
@@ -81,6 +83,8 @@
 	orderedRuns []*run
 	used        model.Resources
 	health      health
+	// forecast is nil after a report or a change of what runs on the worker.
+	forecast *workerForecast
 	// recentlyEnded are the best-effort tasks whose CPU use the next report still covers in part.
 	recentlyEnded []endedUse
 	// previousShares is the CPU use of each best-effort image at the previous report.
@@ -190,6 +194,7 @@
 func (d *Dispatcher) addWorker(id model.WorkerID, address string) *worker {
 	w := &worker{Worker: job.Worker{ID: id, Address: address}, runs: make(map[job.Run]*run)}
 	d.workers[id] = w
+	d.withoutHold = append(d.withoutHold, w)
 	at, _ := slices.BinarySearchFunc(d.sortedWorkers, w, compareWorkers)
 	d.sortedWorkers = slices.Insert(d.sortedWorkers, at, w)
 	return w
