Carry orders through entries near the workers

The leader sent every order and held a long poll to every worker itself. A relay owns nothing: fences and run numbers make orders through two relays harmless.

--- a/internal/coordination/dispatch/action.go
+++ b/internal/coordination/dispatch/action.go
@@ -16,6 +16,23 @@
 	Worker  model.WorkerID
 	Address string
 	Epoch   model.Epoch
+	// Relay is the entry that carries the order to the worker; empty means the leader itself.
+	Relay model.EntryID
+}
+
+// TargetOf returns the target of an order to a worker, and whether the action is one.
+func TargetOf(action Action) (Target, bool) {
+	switch a := action.(type) {
+	case Hold:
+		return a.Target, true
+	case Start:
+		return a.Target, true
+	case Stop:
+		return a.Target, true
+	case Pace:
+		return a.Target, true
+	}
+	return Target{}, false
 }
 
 // Hold is the heartbeat to a worker: it renews the lease of everything that runs there and asks for the inventory.
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 //   - A long-running task (job.Step.LongRunning) runs until its job is cancelled.
 //   - A hold is the long-polling heartbeat to a worker: it renews leases, acknowledges ends and returns the worker's
 //     inventory.
+//   - A relay is an entry that carries the leader's orders to workers of a large fleet.
 //   - A boot is one lifetime of a worker process. A worker that restarts keeps its id and gets a higher boot number.
 //   - A worker is fenced once it has answered under the leader's epoch: from then on it refuses orders of earlier
 //     leaders.
@@ -44,6 +45,8 @@
 	MaxLease time.Duration
 	// StatusRetention is how long the final phase of a job can be queried.
 	StatusRetention time.Duration
+	// MaxDirectWorkers is the number of workers up to which the leader sends all orders itself; 0 means any number.
+	MaxDirectWorkers int
 }
 
 // Dispatcher holds the scheduling state of the leader. It is not safe for concurrent use.
@@ -69,6 +72,7 @@
 	registry   registryState
 
 	recovery         recovery
+	relays           relays
 	interference     interferenceModel
 	stepKinds        map[stepKind]int
 	opportunityCosts opportunityCosts
@@ -96,6 +100,7 @@
 		routes: make(map[job.Queue]job.Route), jobs: make(map[job.ID]*jobState),
 		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
 		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
+		relays: relays{offered: make(map[model.EntryID]*relayState)},
 	}
 }
 
@@ -151,6 +156,7 @@
 		d.place(now)
 	}
 	d.commit(now)
+	d.assignRelays(now)
 	d.sendDueHolds(now)
 }
 
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -11,6 +11,9 @@
 
 // sendDueHolds sends a hold to each worker that has none in flight, if it is due.
 func (d *Dispatcher) sendDueHolds(now time.Time) {
+	if !d.relaysSettled(now) {
+		return
+	}
 	waiting := d.withoutHold[:0]
 	for _, w := range d.withoutHold {
 		switch {
@@ -132,25 +135,27 @@
 			Attr{Key: "runs", Value: len(inv.Running)}, Attr{Key: "ends", Value: len(inv.Ended)})
 		d.markAccounted(w)
 	}
-	d.learnFromReports(now, w)
-	d.trackTargets(now, w)
-	d.adjustPaces(now, w)
+	if !inv.Unmeasured {
+		d.learnFromReports(now, w)
+		d.trackTargets(now, w)
+		d.adjustPaces(now, w)
+	}
 }
 
 // reconcileRuns compares the runs that a worker reports with those that this leader knows.
 func (d *Dispatcher) reconcileRuns(now, sent time.Time, w *worker, reported []job.RunningTask) {
-	reportedRuns := make(map[job.Run]bool, len(reported))
+	w.inventories++
 	for i := range reported {
 		entry := &reported[i]
-		reportedRuns[entry.Run] = true
 		r, known := w.runs[entry.Run]
 		if !known {
 			r = d.adoptRun(now, w, entry.Run)
 		}
+		r.lastReport = w.inventories
 		d.updateRun(now, r, entry)
 	}
 	for _, r := range slices.Clone(w.orderedRuns) {
-		if reportedRuns[r.Run] {
+		if r.lastReport == w.inventories {
 			continue
 		}
 		// The inventory is conclusive only if its hold was sent after the worker confirmed the last order about the
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -50,6 +50,8 @@
 	startsSent int
 	// stopConfirmed is set once the worker has accepted the stop.
 	stopConfirmed bool
+	// lastReport is the number of the last inventory that listed the run, as counted in worker.inventories.
+	lastReport uint64
 	// progressPercent is the reported progress; progressedAt is when it last changed.
 	progressPercent int
 	progressedAt    time.Time
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -35,6 +35,7 @@
 // Recover begins the recovery. It is called once, before any other event.
 func (d *Dispatcher) Recover(now time.Time, state RecoveryState) {
 	d.commits.recordRevision = state.CommitRevision
+	d.relays.settledAt = now.Add(relaySettleTime)
 	lease := time.Duration(float64(d.settings.MaxLease) * (1 + clockSkew))
 	d.recovery = recovery{
 		unaccounted: make(map[model.WorkerID]bool), possiblyRunning: make(map[job.Task]model.WorkerID),
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -77,12 +77,16 @@
 	answeredAt time.Time
 	// unreachable is set while the last answer is older than maxAnswerAge.
 	unreachable bool
+	// inventories counts the inventories of the worker.
+	inventories uint64
 	// runs are the runs that are on the worker, or may be; orderedRuns has them in the order in which they became
 	// known.
 	runs        map[job.Run]*run
 	orderedRuns []*run
 	used        model.Resources
-	health      health
+	// relay is the entry that carries orders to the worker; empty means the leader itself.
+	relay  model.EntryID
+	health health
 	// forecast is nil after a report or a change of what runs on the worker.
 	forecast *workerForecast
 	// recentlyEnded are the best-effort tasks whose CPU use the next report still covers in part.
@@ -110,7 +114,7 @@
 }
 
 func (d *Dispatcher) targetOf(w *worker) Target {
-	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch}
+	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch, Relay: w.relay}
 }
 
 // UpdateWorkers applies the platform's VM list.
@@ -158,6 +162,9 @@
 	if info.Draining && !w.Draining {
 		d.logEvent(notice.WorkerDraining, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)})
 	}
+	if info.DataCentre != w.DataCentre {
+		w.relay, d.relays.changed = "", true
+	}
 	boot := max(w.Boot, info.Boot)
 	w.Worker, w.listed = info, true
 	w.Boot = boot
@@ -195,6 +202,7 @@
 	w := &worker{Worker: job.Worker{ID: id, Address: address}, runs: make(map[job.Run]*run)}
 	d.workers[id] = w
 	d.withoutHold = append(d.withoutHold, w)
+	d.relays.changed = true
 	at, _ := slices.BinarySearchFunc(d.sortedWorkers, w, compareWorkers)
 	d.sortedWorkers = slices.Insert(d.sortedWorkers, at, w)
 	return w
--- a/internal/coordination/scheduler/answer.go
+++ b/internal/coordination/scheduler/answer.go
@@ -40,6 +40,18 @@
 	}
 }
 
+func (ev RelayOffered) apply(c *Core, _ time.Time) {
+	if d := c.dispatcherFor(ev.Epoch); d != nil {
+		d.OfferRelay(ev.Relay)
+	}
+}
+
+func (ev RelayLost) apply(c *Core, now time.Time) {
+	if d := c.dispatcherFor(ev.Epoch); d != nil {
+		d.LoseRelay(now, ev.Entry)
+	}
+}
+
 func (ev AdviceReceived) apply(c *Core, now time.Time) {
 	if d := c.dispatcherFor(ev.Request.Epoch); d != nil {
 		d.HandleAdvice(now, ev.Request, ev.Granted, ev.Err)
--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -150,6 +150,18 @@
 	Err      error
 }
 
+// RelayOffered means that an entry carries orders of the leader with the given epoch.
+type RelayOffered struct {
+	Epoch model.Epoch
+	Relay dispatch.Relay
+}
+
+// RelayLost means that an entry no longer carries orders of the leader with the given epoch.
+type RelayLost struct {
+	Epoch model.Epoch
+	Entry model.EntryID
+}
+
 // InspectRequested queries the phase of a job; the reply is an Inspection.
 type InspectRequested struct {
 	ReplyTo ReplyTo
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -46,6 +46,8 @@
 	Configured bool
 	// Leading is true while this entry is the leader and has loaded the jobs.
 	Leading bool
+	// Epoch is that of this entry's leadership; 0 unless Leading.
+	Epoch model.Epoch
 	// LeaderAddress is where the leader serves requests of other entries; empty while no leader is known.
 	LeaderAddress string
 	Draining      bool
@@ -118,8 +120,11 @@
 		Configuration: c.config.current, Configured: c.config.loaded, Leading: c.leadership.dispatcher != nil,
 		LeaderAddress: c.leadership.address(), Draining: c.draining, StoreUnavailable: c.storeHealth.unavailable,
 	}
+	if v.Leading {
+		v.Epoch = c.leadership.epoch
+	}
 	if v.Configuration.Version != c.view.Configuration.Version || v.Configured != c.view.Configured ||
-		v.Leading != c.view.Leading || v.LeaderAddress != c.view.LeaderAddress || v.Draining != c.view.Draining ||
+		v.Leading != c.view.Leading || v.Epoch != c.view.Epoch || v.LeaderAddress != c.view.LeaderAddress || v.Draining != c.view.Draining ||
 		v.StoreUnavailable != c.view.StoreUnavailable {
 		c.view = &v
 	}
--- a/internal/state/job/worker.go
+++ b/internal/state/job/worker.go
@@ -76,6 +76,8 @@
 	Clock   time.Duration
 	Running []RunningTask
 	Ended   []EndedTask
+	// Unmeasured means that the percentages and measurements of Running are those of an earlier inventory.
+	Unmeasured bool
 }
 
 // RefusalKind says why a worker did not carry out an order.
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -86,6 +86,10 @@
 	WorkerUnreachable   Code = 7305
 	WorkerReachable     Code = 7306
 	WorkerLeasesExpired Code = 7307
+	RelaysAssigned      Code = 7308
+	RelayLost           Code = 7309
+	RelayFollowing      Code = 7310
+	RelayStopped        Code = 7311
 	DependencyLost      Code = 7401
 	DependencyRecovered Code = 7402
 	SettingsReloaded    Code = 7403
@@ -167,6 +171,10 @@
 	WorkerUnreachable:   {"worker-unreachable", Warn, "a worker does not respond and gets no new tasks"},
 	WorkerReachable:     {"worker-reachable", Info, "a worker responds again"},
 	WorkerLeasesExpired: {"worker-lapsed", Warn, "the leases of an unreachable worker expired; its tasks are rescheduled"},
+	RelaysAssigned:      {"relays-assigned", Info, "workers were assigned to the entries that carry orders to them"},
+	RelayLost:           {"relay-lost", Warn, "an entry no longer carries orders; its workers are reached in another way"},
+	RelayFollowing:      {"relay-following", Info, "this entry carries orders of the leader"},
+	RelayStopped:        {"relay-stopped", Info, "this entry no longer carries orders of a leader"},
 	DependencyLost:      {"dependency-lost", Warn, "a dependency does not respond"},
 	DependencyRecovered: {"dependency-back", Info, "a dependency responds again"},
 	SettingsReloaded:    {"settings-reloaded", Info, "the settings were reloaded"},
--- a/internal/transport/jobdaemon/daemon.go
+++ b/internal/transport/jobdaemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/jujubearch/jujubearch/internal/state/notice"
 	"github.com/jujubearch/jujubearch/internal/transport/event"
 	"github.com/jujubearch/jujubearch/internal/transport/jobs"
+	"github.com/jujubearch/jujubearch/internal/transport/relay"
 )
 
 const (
@@ -62,6 +63,8 @@
 	settings     *settings.JobSettings
 	logger       *slog.Logger
 	actor        *jobs.ControlActor
+	hub          *relay.Hub
+	agent        *relay.Agent
 	droppedLines func() uint64
 	callerServer *http.Server
 	servers      []*http.Server
@@ -73,20 +76,24 @@
 	if jobSettings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(jobSettings.MemoryMB) * bytesPerMB))
 	}
-	d := &Daemon{settings: jobSettings, logger: logger, droppedLines: adapter.DroppedLogLines}
+	d := &Daemon{
+		settings: jobSettings, logger: logger, droppedLines: adapter.DroppedLogLines, hub: relay.NewHub(),
+	}
 	jobMetrics := jobs.NewMetrics()
 	if adapter.DroppedLogLines != nil {
 		jobMetrics.RegisterDroppedLines(adapter.DroppedLogLines)
 	}
+	core := coreSettings(jobSettings)
 	executor := &jobs.Executor{
 		Store: adapter.Store, Workers: adapter.Workers, Directory: adapter.Directory, Advisor: adapter.Advisor,
-		Logger: logger, Metrics: jobMetrics,
+		Relays: d.hub, Logger: logger, Metrics: jobMetrics,
 	}
-	actor, err := jobs.NewControlActor(context.Background(), coreSettings(jobSettings), executor, newRandom())
+	actor, err := jobs.NewControlActor(context.Background(), core, executor, newRandom())
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	d.actor = actor
+	d.hub.Attach(actor)
 	service := &jobs.Service{
 		Actor: actor, Store: executor.Store, Leader: jobs.NewPeerClient(newPeerHTTPClient()), Logger: logger,
 		Metrics: jobMetrics,
@@ -95,6 +102,11 @@
 		d.Close()
 		return nil, errors.Trace(err)
 	}
+	d.agent = relay.StartAgent(relay.AgentOptions{
+		Entry: core.Entry, Incarnation: core.Incarnation, DataCentre: jobSettings.DataCentre,
+		MaxWorkers: scheduler.MaxWorkers(core.Cores, core.LinkMbps), Core: actor, Workers: adapter.Workers,
+		Client: newPeerHTTPClient(), Logger: logger,
+	})
 	event.Log(logger, notice.ProcessStarted, notice.Attr{Key: "entry", Value: jobSettings.Entry},
 		notice.Attr{Key: "caller", Value: jobSettings.CallerListen}, notice.Attr{Key: "peer", Value: jobSettings.PeerListen})
 	return d, nil
@@ -105,6 +117,7 @@
 func (d *Daemon) listen(service *jobs.Service, adapter Adapter, jobMetrics *jobs.Metrics) error {
 	peers := http.NewServeMux()
 	peers.Handle(jobs.NewPeerServer(d.actor).Handler())
+	peers.Handle(d.hub.Handler())
 	for _, endpoint := range []struct {
 		address string
 		handler http.Handler
@@ -171,6 +184,9 @@
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
+	if d.agent != nil {
+		d.agent.Stop()
+	}
 	d.actor.Stop()
 }
 
@@ -190,6 +206,7 @@
 		Cores: jobSettings.Cores, LinkMbps: jobSettings.LinkMbps,
 		Dispatch: dispatch.Settings{
 			MaxLease: jobSettings.MaxLease, StatusRetention: jobSettings.StatusRetention,
+			MaxDirectWorkers: scheduler.MaxWorkers(jobSettings.Cores, jobSettings.LinkMbps),
 		},
 	}
 }
--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -40,18 +40,28 @@
 	Workers   Workers
 	Directory Directory
 	Advisor   Advisor
-	Logger    *slog.Logger
-	Metrics   *Metrics
+	// Relays queues the orders that other entries carry; nil if there are none.
+	Relays  interface{ Enqueue(order dispatch.Action) }
+	Logger  *slog.Logger
+	Metrics *Metrics
 }
 
-// Inline writes the log event of a scheduler.LogEvent on the goroutine of the actor and reports whether the action was
-// one. It relies on a logger that does not block (see event.AsyncWriter).
+// Inline executes an action on the goroutine of the actor if that does not block, and reports whether it did: it writes
+// log events, which relies on a logger that does not block (see event.AsyncWriter), and queues orders for relays.
 func (e *Executor) Inline(action scheduler.Action) bool {
-	n, ok := action.(scheduler.LogEvent)
-	if ok {
-		event.Log(e.Logger, n.Code, n.Attrs...)
+	switch a := action.(type) {
+	case scheduler.LogEvent:
+		event.Log(e.Logger, a.Code, a.Attrs...)
+		return true
+	case scheduler.Dispatch:
+		target, isOrder := dispatch.TargetOf(a.Action)
+		if !isOrder || target.Relay == "" || e.Relays == nil {
+			return false
+		}
+		e.Relays.Enqueue(a.Action)
+		return true
 	}
-	return ok
+	return false
 }
 
 // Perform executes an action and returns the event with its result; false means that there is no event.
@@ -240,24 +250,37 @@
 	case dispatch.RequestAdvice:
 		return e.advise(ctx, o)
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout(a.Action))
 	defer cancel()
 	start := time.Now()
-	var response job.OrderResponse
-	switch o := a.Action.(type) {
+	response := SendOrder(ctx, e.Workers, a.Action)
+	e.Metrics.observeOrder(a.Action, response, start)
+	return scheduler.OrderDone{Order: a.Action, Response: response}
+}
+
+// OrderTimeout returns how long to wait for the response to an order.
+func OrderTimeout(order dispatch.Action) time.Duration {
+	if h, ok := order.(dispatch.Hold); ok {
+		return h.Wait + holdGrace
+	}
+	return orderTimeout
+}
+
+// SendOrder sends an order other than a hold to its worker.
+func SendOrder(ctx context.Context, workers Workers, order dispatch.Action) job.OrderResponse {
+	switch o := order.(type) {
 	case dispatch.Start:
-		response = e.Workers.Start(ctx, o)
+		return workers.Start(ctx, o)
 	case dispatch.Stop:
-		response = e.Workers.Stop(ctx, o)
+		return workers.Stop(ctx, o)
 	case dispatch.Pace:
-		response = e.Workers.Pace(ctx, o)
+		return workers.Pace(ctx, o)
 	}
-	e.Metrics.observeOrder(a.Action, response, start)
-	return scheduler.OrderDone{Order: a.Action, Response: response}
+	return job.OrderResponse{Err: verdict.NotRunError("not an order", nil)}
 }
 
 func (e *Executor) hold(ctx context.Context, h dispatch.Hold) scheduler.HoldDone {
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdGrace)
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout(h))
 	defer cancel()
 	sent := time.Now()
 	inventory, response := e.Workers.Hold(ctx, h.AtSend(sent))
