Store finished tasks as bits and introduce workers and payloads once

A commit wrote every finished task of a job as a range and the checkpoint of every running one, and each order repeated its worker's address and its payload: more than the leader's link of 2 Mbit/s. Scattered finished tasks are now bits, checkpoints are stored only while no worker holds them, and a batch of orders names workers by number and holds each payload once.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -171,8 +171,8 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" {
-					p.Tasks[t.Key()] = t.progress()
+				if stored := t.progress(); stored.Done || len(stored.FailedRuns) > 0 || stored.Checkpoint != "" {
+					p.Tasks[t.Key()] = stored
 				}
 			}
 		}
@@ -180,11 +180,17 @@
 	return p
 }
 
+// progress returns the state of a task to store. The checkpoint of a task with a run is left out, since its worker
+// reports it to the next leader.
 func (t *task) progress() job.TaskProgress {
 	if t.done {
 		return job.TaskProgress{Done: true}
 	}
-	return job.TaskProgress{FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint}
+	p := job.TaskProgress{FailedRuns: slices.Clone(t.failedRuns)}
+	if len(t.runs) == 0 {
+		p.Checkpoint = t.checkpoint
+	}
+	return p
 }
 
 // HandleCommit handles the response to a commit. applied is true if the transaction took effect; if it did not,
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -289,4 +289,8 @@
 	}
 	t.readySince = now
 	t.hasRun = t.hasRun || r.phase != starting
+	if t.checkpoint != "" && !t.done && !t.owner.phase.Final() {
+		// No worker reports the checkpoint any more.
+		d.markDirty(t.owner)
+	}
 }
--- a/internal/protocol/jobrecord/job.go
+++ b/internal/protocol/jobrecord/job.go
@@ -1,6 +1,7 @@
 package jobrecord
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"time"
 
@@ -95,17 +96,31 @@
 	return j, nil
 }
 
-// progressJSON is the stored form of the progress of a job. Done lists the finished tasks as ranges of indices. Tasks
-// lists the tasks that are not finished but have failed or have a checkpoint.
+// progressJSON is the stored form of the progress of a job. Done lists the finished tasks as ranges of indices, and Bits
+// those of steps of which scattered tasks have finished. Tasks lists the tasks that are not finished but have failed or
+// have a checkpoint.
 type progressJSON struct {
 	Phase string      `json:"phase,omitempty"`
 	Done  []doneRange `json:"done,omitempty"`
+	Bits  []doneBits  `json:"bits,omitempty"`
 	Tasks []taskJSON  `json:"tasks,omitempty"`
 }
 
 // doneRange is [occurrence, step, first index, last index].
 type doneRange [4]int
 
+// doneBits is a set of finished tasks of a step. Bit i%8 of byte i/8 stands for the task with index i.
+type doneBits struct {
+	Step [2]int `json:"s"`
+	Bits []byte `json:"b"`
+}
+
+// rangeBytes is the approximate encoded size of a doneRange, and bitsBytes that of a doneBits without its bits.
+const (
+	rangeBytes = 12
+	bitsBytes  = 20
+)
+
 // taskJSON is the progress of one task, which is [occurrence, step, index].
 type taskJSON struct {
 	Task       [3]int          `json:"t"`
@@ -138,9 +153,34 @@
 		}
 		stored.Done = append(stored.Done, doneRange{key.Occurrence, key.Step, key.Index, key.Index})
 	}
+	stored.replaceRanges()
 	return stored
 }
 
+// replaceRanges replaces the ranges of a step by bits where that is shorter. The ranges of a step follow each other.
+func (v *progressJSON) replaceRanges() {
+	var ranges []doneRange
+	for rest := v.Done; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n][0] == rest[0][0] && rest[n][1] == rest[0][1] {
+			n++
+		}
+		bits := make([]byte, rest[n-1][3]/8+1)
+		if n*rangeBytes <= bitsBytes+base64.StdEncoding.EncodedLen(len(bits)) {
+			ranges = append(ranges, rest[:n]...)
+		} else {
+			for _, d := range rest[:n] {
+				for i := d[2]; i <= d[3]; i++ {
+					bits[i/8] |= 1 << (i % 8)
+				}
+			}
+			v.Bits = append(v.Bits, doneBits{Step: [2]int{rest[0][0], rest[0][1]}, Bits: bits})
+		}
+		rest = rest[n:]
+	}
+	v.Done = ranges
+}
+
 func (d doneRange) isContinuedBy(key job.TaskKey) bool {
 	return d[0] == key.Occurrence && d[1] == key.Step && d[3]+1 == key.Index
 }
@@ -166,6 +206,16 @@
 			p.Tasks[job.TaskKey{Occurrence: d[0], Step: d[1], Index: i}] = job.TaskProgress{Done: true}
 		}
 	}
+	for _, d := range v.Bits {
+		if len(d.Bits) > job.MaxTasksPerStep/8+1 {
+			return nil, errors.Annotatef(ErrInvalid, "too many finished tasks of step %v", d.Step)
+		}
+		for i := range 8 * len(d.Bits) {
+			if d.Bits[i/8]&(1<<(i%8)) != 0 {
+				p.Tasks[job.TaskKey{Occurrence: d.Step[0], Step: d.Step[1], Index: i}] = job.TaskProgress{Done: true}
+			}
+		}
+	}
 	for _, t := range v.Tasks {
 		p.Tasks[job.TaskKey{Occurrence: t.Task[0], Step: t.Task[1], Index: t.Task[2]}] = job.TaskProgress{
 			FailedRuns: t.FailedRuns, Checkpoint: job.Checkpoint(t.Checkpoint),
--- a/internal/transport/relay/server.go
+++ b/internal/transport/relay/server.go
@@ -34,8 +34,7 @@
 	}
 	s, events := h.sessionFor(view, r)
 	h.deliver(events...)
-	orders, ok := h.waitForOrders(ctx, s)
-	return &jobspb.PollResponse{Leading: ok, Session: s.id, Epoch: uint64(s.epoch), Orders: orders}, nil
+	return h.waitForOrders(ctx, s), nil
 }
 
 // releaseRelay ends the session of an entry that is stopping.
@@ -49,8 +48,8 @@
 	return h.removeSession(s)
 }
 
-// waitForOrders waits for orders of a session, at most for pollWait. It returns false if the session has ended.
-func (h *Hub) waitForOrders(ctx context.Context, s *session) ([]*jobspb.Order, bool) {
+// waitForOrders waits for orders of a session, at most for pollWait.
+func (h *Hub) waitForOrders(ctx context.Context, s *session) *jobspb.PollResponse {
 	h.mu.Lock()
 	s.polls++
 	poll, earliest := s.polls, s.respondedAt.Add(minPollInterval)
@@ -70,17 +69,17 @@
 	sleep(ctx, time.Until(earliest))
 	for {
 		h.mu.Lock()
-		orders, closed, replaced := s.take(poll), s.closed, poll != s.polls
+		batch, replaced := s.take(poll), poll != s.polls
 		h.mu.Unlock()
-		if len(orders) > 0 || closed || replaced {
-			return orders, !closed
+		if len(batch.GetOrders()) > 0 || !batch.GetLeading() || replaced {
+			return batch
 		}
 		select {
 		case <-s.wake:
 		case <-deadline.C:
-			return nil, true
+			return batch
 		case <-ctx.Done():
-			return nil, true
+			return batch
 		}
 	}
 }
--- a/internal/transport/relay/session.go
+++ b/internal/transport/relay/session.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/coordination/scheduler"
-	"github.com/jujubearch/jujubearch/internal/protocol/convert"
 	"github.com/jujubearch/jujubearch/internal/protocol/inventory"
 	"github.com/jujubearch/jujubearch/internal/protocol/jobspb"
+	"github.com/jujubearch/jujubearch/internal/protocol/relaybatch"
 	"github.com/jujubearch/jujubearch/internal/state/job"
 	"github.com/jujubearch/jujubearch/internal/state/model"
 )
@@ -22,6 +22,7 @@
 	// unfinished are the orders without a result, those in the queue included.
 	unfinished map[uint64]*order
 	decoders   map[model.WorkerID]*inventory.Decoder
+	writer     relaybatch.Writer
 	// wake gets an element when an order is queued or the session ends.
 	wake   chan struct{}
 	closed bool
@@ -62,25 +63,26 @@
 	return !s.polling && now.Sub(s.respondedAt) > maxPollGap
 }
 
-// take hands the next orders to the poll with the given number, or returns nil if there are none or a newer poll waits.
-func (s *session) take(poll uint64) []*jobspb.Order {
+// take hands the next orders to the poll with the given number: none if a newer poll waits.
+func (s *session) take(poll uint64) *jobspb.PollResponse {
+	batch := &jobspb.PollResponse{Leading: !s.closed, Session: s.id, Epoch: uint64(s.epoch)}
 	if poll != s.polls || s.closed {
-		return nil
+		return batch
 	}
-	var messages []*jobspb.Order
-	for len(s.queue) > 0 && len(messages) < maxOrdersPerPoll {
+	s.writer.Begin()
+	for len(s.queue) > 0 && len(batch.GetOrders()) < maxOrdersPerPoll {
 		o := s.queue[0]
 		s.queue = s.queue[1:]
 		if s.unfinished[o.id] == nil {
 			continue
 		}
 		o.handed = true
-		messages = append(messages, convert.RelayOrderToProto(o.id, o.action, s.decoderOf(o.target.Worker).Number()))
+		s.writer.Add(batch, o.id, o.action, s.decoderOf(o.target.Worker).Number())
 	}
 	if len(s.queue) == 0 {
 		s.queue = nil
 	}
-	return messages
+	return batch
 }
 
 func (s *session) decoderOf(w model.WorkerID) *inventory.Decoder {
@@ -100,7 +102,7 @@
 		return nil, false
 	}
 	delete(s.unfinished, result.GetId())
-	response := convert.RelayResultFromProto(result)
+	response := relaybatch.ResultFromProto(result)
 	if result.GetInventory() == nil || response.Err != nil {
 		return resultEvent(o, response, job.Inventory{}), false
 	}
