Read changes of the worker list and report ends and checkpoints once

The leader read the whole list of workers every 0.9 s, and relays repeated ends until they were acknowledged and every checkpoint.

--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -112,11 +112,16 @@
 	Err      error
 }
 
-// WorkersRead is the result of ListWorkers.
+// WorkersRead is the result of WatchWorkers.
 type WorkersRead struct {
-	Term    uint64
+	Term uint64
+	// Workers are the workers whose records have changed, and Removed those without a valid record any more.
 	Workers []job.Worker
-	Err     error
+	Removed []model.WorkerID
+	// Complete means that Workers lists all workers.
+	Complete bool
+	Revision model.Revision
+	Err      error
 }
 
 // HoldDone is the result of dispatch.Hold.
@@ -257,8 +262,13 @@
 	Wait  time.Duration
 }
 
-// ListWorkers reads the list of workers from the platform.
-type ListWorkers struct{ Term uint64 }
+// WatchWorkers long-polls for changes of the platform's list of workers after revision After, for at most Wait. If After
+// is 0, it reads the whole list immediately.
+type WatchWorkers struct {
+	Term  uint64
+	After model.Revision
+	Wait  time.Duration
+}
 
 // Dispatch wraps an action of the dispatcher.
 type Dispatch struct {
@@ -290,7 +300,7 @@
 func (CommitLeadership) isAction() {}
 func (ReadState) isAction()        {}
 func (WatchJobs) isAction()        {}
-func (ListWorkers) isAction()      {}
+func (WatchWorkers) isAction()     {}
 func (Dispatch) isAction()         {}
 func (LogEvent) isAction()         {}
 func (Reply) isAction()            {}
--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -26,9 +26,12 @@
 	roundTripFactor = 4
 	// leadershipRetryDelay is the delay after a failed campaign, a failed renewal of the lease or a lost leadership.
 	leadershipRetryDelay = 250 * time.Millisecond
-	// workerListInterval is the delay between two reads of the list of workers: a worker that leaves must not be sent
-	// new tasks for more than a few seconds.
-	workerListInterval = 900 * time.Millisecond
+	// workerReadInterval is the pause between two reads of changes to the list of workers, of which there are always
+	// some, since workers renew their records. A worker that leaves must not be sent new tasks for more than a few
+	// seconds.
+	workerReadInterval = 900 * time.Millisecond
+	// workerResyncInterval is the time between two reads of the whole list of workers. Changes in between are watched.
+	workerResyncInterval = 30 * time.Second
 )
 
 // stage is the progress of an entry towards leadership.
@@ -78,10 +81,15 @@
 	// predecessorGrace is how long the previous leader may still act; 0 if it has certainly stopped.
 	predecessorGrace time.Duration
 	// jobsRevision is where the next watch of the jobs continues.
-	jobsRevision   model.Revision
-	jobsRetry      readRetry
-	listingWorkers bool
-	nextWorkerList time.Time
+	jobsRevision model.Revision
+	jobsRetry    readRetry
+	// workers are the workers that the platform lists. workersRevision is where the next watch continues, 0 for a read
+	// of the whole list, which is made again at resyncWorkersAt.
+	workers         map[model.WorkerID]job.Worker
+	workersRevision model.Revision
+	resyncWorkersAt time.Time
+	// nextWorkerRead is when the next watch of the workers is due; zero while one is in flight.
+	nextWorkerRead time.Time
 	workersRetry   readRetry
 	stateRetry     readRetry
 	// resigning is true from the drain request on; resignSent once the resignation has been sent to the store.
@@ -375,7 +383,8 @@
 func (c *Core) resetLeadership() {
 	l := &c.leadership
 	l.stage, l.dispatcher, l.term = following, nil, l.term+1
-	l.reclaiming, l.renewing, l.listingWorkers, l.resigning, l.resignSent = false, false, false, false, false
+	l.reclaiming, l.renewing, l.resigning, l.resignSent = false, false, false, false
+	l.workers, l.workersRevision, l.nextWorkerRead = nil, 0, time.Time{}
 	l.jobsRetry, l.workersRetry, l.stateRetry = readRetry{}, readRetry{}, readRetry{}
 	for id := range c.cancelWaiters {
 		c.replyCancel(id, CancelOutcome{NotLeader: true})
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/coordination/dispatch"
@@ -42,7 +44,7 @@
 	c.loadJobs(now, ev.Jobs, progress, false)
 	l.jobsRevision = ev.Revision
 	c.watchJobs()
-	l.nextWorkerList = now
+	c.watchWorkers()
 	c.tickLeader(now)
 }
 
@@ -80,29 +82,56 @@
 	c.watchJobs()
 }
 
+func (c *Core) watchWorkers() {
+	l := &c.leadership
+	c.emit(WatchWorkers{Term: l.term, After: l.workersRevision, Wait: l.workersRetry.waitTime()})
+}
+
 func (ev WorkersRead) apply(c *Core, now time.Time) {
 	l := &c.leadership
 	if ev.Term != l.term || l.stage != leading {
 		return
 	}
-	l.listingWorkers = false
 	if ev.Err != nil {
 		c.readFailed(now, &l.workersRetry, "worker-list", ev.Err)
-		l.nextWorkerList = l.workersRetry.nextAttempt
 		return
 	}
 	c.readSucceeded(&l.workersRetry, "worker-list")
-	l.nextWorkerList = now.Add(workerListInterval)
-	l.dispatcher.UpdateWorkers(now, ev.Workers)
+	if ev.Complete {
+		l.workers, l.resyncWorkersAt = make(map[model.WorkerID]job.Worker, len(ev.Workers)), now.Add(workerResyncInterval)
+	}
+	for _, w := range ev.Workers {
+		l.workers[w.ID] = w
+	}
+	for _, id := range ev.Removed {
+		delete(l.workers, id)
+	}
+	if ev.Complete || len(ev.Workers)+len(ev.Removed) > 0 {
+		l.dispatcher.UpdateWorkers(now, l.listedWorkers())
+	}
+	l.workersRevision = max(l.workersRevision, ev.Revision)
+	if now.After(l.resyncWorkersAt) {
+		l.workersRevision = 0
+	}
+	l.nextWorkerRead = now.Add(workerReadInterval)
+}
+
+// listedWorkers returns the workers in the order of their ids, so that equal inputs lead to equal decisions.
+func (l *leadershipState) listedWorkers() []job.Worker {
+	list := make([]job.Worker, 0, len(l.workers))
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
+		list = append(list, l.workers[id])
+	}
+	return list
 }
 
-// tickLeader requests the list of workers if it is due and runs the timed work of the dispatcher. While the leader is
-// resigning, the dispatcher must not give any more orders.
+// tickLeader retries failed reads and runs the timed work of the dispatcher. While the leader is resigning, the
+// dispatcher must not give any more orders.
 func (c *Core) tickLeader(now time.Time) {
 	l := &c.leadership
-	if !l.listingWorkers && !now.Before(l.nextWorkerList) {
-		l.listingWorkers = true
-		c.emit(ListWorkers{Term: l.term})
+	if l.workersRetry.startIfDue(now) || !l.nextWorkerRead.IsZero() && !now.Before(l.nextWorkerRead) {
+		l.nextWorkerRead = time.Time{}
+		c.watchWorkers()
 	}
 	if l.jobsRetry.startIfDue(now) {
 		c.watchJobs()
--- a/internal/protocol/inventory/inventory.go
+++ b/internal/protocol/inventory/inventory.go
@@ -1,9 +1,10 @@
 // Package inventory encodes the successive inventories of a worker as changes. An Encoder at the relay, an entry that
 // carries orders to workers, and a Decoder at the leader hold the same list of running tasks.
 //
-// Guarantees: a Decoder returns what the Encoder was given, except that measurements are rounded to whole numbers and
-// that an inventory marked as unmeasured repeats earlier percentages and measurements. A Decoder that lacks the
-// inventory that a message refers to returns ErrUnknownBase and is not changed.
+// Guarantees: a Decoder returns what the Encoder was given, except that measurements are rounded to whole numbers, that
+// ends which an earlier inventory of the same boot contained are left out, and that percentages, measurements and
+// checkpoints are repeated from an earlier inventory if Detail says so. A Decoder that lacks the inventory that a message
+// refers to returns ErrUnknownBase and is not changed.
 package inventory
 
 import (
@@ -32,20 +33,25 @@
 	rows   []job.RunningTask
 	// complete is set if the next inventory must not refer to an earlier one.
 	complete bool
+	// boot is that of the last inventory, and lastEnd the highest sequence number of an end up to then.
+	boot    job.BootID
+	lastEnd int64
 }
 
+// Detail says which changes of runs that were listed before an inventory contains.
+type Detail struct{ Measurements, Checkpoints bool }
+
 // Reset makes the next inventory complete.
 func (e *Encoder) Reset() { e.complete = true }
 
 // Number returns the number of the last inventory.
 func (e *Encoder) Number() uint64 { return e.number }
 
-// Encode returns the message for an inventory. If it is not measured, changes of percentages and measurements are left
-// out.
-func (e *Encoder) Encode(inv job.Inventory, measured bool) *jobspb.Inventory {
-	m := &jobspb.Inventory{Base: e.number, Boot: int64(inv.Boot), Unmeasured: !measured}
-	if e.complete {
-		e.rows, e.complete, m.Base = nil, false, 0
+// Encode returns the message for an inventory.
+func (e *Encoder) Encode(inv job.Inventory, detail Detail) *jobspb.Inventory {
+	m := &jobspb.Inventory{Base: e.number, Boot: int64(inv.Boot), Unmeasured: !detail.Measurements}
+	if e.complete || inv.Boot != e.boot {
+		e.rows, e.complete, e.boot, e.lastEnd, m.Base = nil, false, inv.Boot, 0, 0
 	}
 	e.number++
 	m.Number = e.number
@@ -62,7 +68,7 @@
 			continue
 		}
 		delete(current, row.Run)
-		row = encodeChange(m, uint32(len(kept)), row, now, measured)
+		row = encodeChange(m, uint32(len(kept)), row, now, detail)
 		kept = append(kept, row)
 	}
 	for i := range inv.Running {
@@ -79,6 +85,10 @@
 	e.rows = kept
 	for i := range inv.Ended {
 		end := &inv.Ended[i]
+		if end.Sequence <= e.lastEnd {
+			continue
+		}
+		e.lastEnd = end.Sequence
 		m.Ended = append(m.Ended, &jobspb.EndedTask{
 			Run: RunToProto(end.Run), Sequence: end.Sequence, Kind: uint32(end.Kind), Checkpoint: string(end.Checkpoint),
 		})
@@ -88,15 +98,15 @@
 
 // encodeChange adds what has changed of the run at a position, and returns the row as the decoder will have it.
 func encodeChange(
-	m *jobspb.Inventory, position uint32, row job.RunningTask, now *job.RunningTask, measured bool,
+	m *jobspb.Inventory, position uint32, row job.RunningTask, now *job.RunningTask, detail Detail,
 ) job.RunningTask {
-	if measured && (now.Percent != row.Percent || round(now.Measurement) != round(row.Measurement)) {
+	if detail.Measurements && (now.Percent != row.Percent || round(now.Measurement) != round(row.Measurement)) {
 		m.Changed = append(m.Changed, position)
 		m.Percents = append(m.Percents, uint32(max(now.Percent, 0)))
 		m.Measurements = append(m.Measurements, round(now.Measurement))
 		row.Percent, row.Measurement = now.Percent, now.Measurement
 	}
-	if now.Checkpoint != row.Checkpoint {
+	if detail.Checkpoints && now.Checkpoint != row.Checkpoint {
 		m.Checkpoints = append(m.Checkpoints, &jobspb.CheckpointChange{
 			Position: position, Checkpoint: string(now.Checkpoint),
 		})
--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -75,8 +75,8 @@
 		return e.watchJobs(ctx, a), true
 	case scheduler.ReadState:
 		return e.readState(ctx, a), true
-	case scheduler.ListWorkers:
-		return e.listWorkers(ctx, a), true
+	case scheduler.WatchWorkers:
+		return e.watchWorkers(ctx, a), true
 	case scheduler.Dispatch:
 		return e.dispatch(ctx, a), true
 	case scheduler.SetTimer:
@@ -233,11 +233,13 @@
 	return state
 }
 
-func (e *Executor) listWorkers(ctx context.Context, a scheduler.ListWorkers) scheduler.WorkersRead {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (e *Executor) watchWorkers(ctx context.Context, a scheduler.WatchWorkers) scheduler.WorkersRead {
+	ctx, cancel := context.WithTimeout(ctx, a.Wait+longPollGrace)
 	defer cancel()
-	workers, err := e.Directory.ListWorkers(ctx)
-	return scheduler.WorkersRead{Term: a.Term, Workers: workers, Err: err}
+	read, err := e.Directory.Workers(ctx, a.After, a.Wait)
+	return scheduler.WorkersRead{
+		Term: a.Term, Workers: read.Changed, Removed: read.Removed, Complete: read.Complete, Revision: read.Revision, Err: err,
+	}
 }
 
 // dispatch executes an action of the dispatcher: an order to a worker, a commit or a request to the advice service.
--- a/internal/transport/jobs/ports.go
+++ b/internal/transport/jobs/ports.go
@@ -87,13 +87,25 @@
 
 // Directory reads the platform's list of workers and the operators' configuration.
 type Directory interface {
-	// ListWorkers returns all workers that the platform lists. Invalid records are logged and skipped.
-	ListWorkers(ctx context.Context) ([]job.Worker, error)
+	// Workers waits up to wait for changes of the platform's list of workers after a revision. With revision 0 it returns
+	// the whole list at once. Invalid records are logged, and their workers count as removed.
+	Workers(ctx context.Context, after model.Revision, wait time.Duration) (WorkersResult, error)
 	// Configuration waits up to wait for a configuration newer than a revision. With revision 0 it returns the present
 	// one at once.
 	Configuration(ctx context.Context, after model.Revision, wait time.Duration) (ConfigurationResult, error)
 }
 
+// WorkersResult is the result of Directory.Workers.
+type WorkersResult struct {
+	// Changed are the workers whose records have changed, and Removed those without a valid record.
+	Changed []job.Worker
+	Removed []model.WorkerID
+	// Complete means that Changed lists all workers.
+	Complete bool
+	// Revision is the one to pass to the next call.
+	Revision model.Revision
+}
+
 // ConfigurationResult is the result of Directory.Configuration.
 type ConfigurationResult struct {
 	Configuration job.Configuration
--- a/internal/transport/relay/carrier.go
+++ b/internal/transport/relay/carrier.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// minReportInterval is the minimum time between two reports: the results of that time go together.
-	minReportInterval = 10 * time.Millisecond
 	// maxResultsPerReport bounds one report.
 	maxResultsPerReport = 500
 	// maxOrderAge is the time after its arrival within which an order is sent.
@@ -153,7 +151,7 @@
 			continue
 		}
 		unsent = nil
-		sleep(c.ctx, minReportInterval)
+		sleep(c.ctx, c.options.BatchInterval)
 	}
 }
 
--- a/internal/transport/relay/hub.go
+++ b/internal/transport/relay/hub.go
@@ -24,9 +24,6 @@
 const (
 	// pollWait is how long a poll waits for orders.
 	pollWait = 5 * time.Second
-	// minPollInterval is the minimum time between two responses with orders to one relay: the orders of that time go
-	// together.
-	minPollInterval = 10 * time.Millisecond
 	// maxPollGap is the time after a response within which a relay must poll again.
 	maxPollGap = 700 * time.Millisecond
 	// maxOrdersPerPoll bounds one response.
@@ -43,8 +40,28 @@
 	Send(ctx context.Context, ev scheduler.Event) error
 }
 
+const (
+	// batchInterval is the minimum time between two batches of orders or results on one way between leader and relay,
+	// and slowLinkBatchInterval that of an entry whose link has less than slowLinkMbps: each batch costs some hundred
+	// bytes.
+	batchInterval         = 10 * time.Millisecond
+	slowLinkBatchInterval = 40 * time.Millisecond
+	slowLinkMbps          = 50
+)
+
+// BatchInterval returns the minimum time between two batches that an entry with the given link, in megabits per second
+// or 0 if unknown, sends on one way.
+func BatchInterval(linkMbps float64) time.Duration {
+	if linkMbps > 0 && linkMbps < slowLinkMbps {
+		return slowLinkBatchInterval
+	}
+	return batchInterval
+}
+
 // Hub is the leader's side. It is safe for concurrent use.
 type Hub struct {
+	batchInterval time.Duration
+
 	mu       sync.Mutex
 	core     Core
 	epoch    model.Epoch
@@ -53,8 +70,11 @@
 	sweeping bool
 }
 
-// NewHub returns a hub without relays. Attach must be called before its handler is served.
-func NewHub() *Hub { return &Hub{sessions: make(map[model.EntryID]*session)} }
+// NewHub returns a hub without relays that hands out batches of orders to one relay at the given interval. Attach must
+// be called before its handler is served.
+func NewHub(interval time.Duration) *Hub {
+	return &Hub{batchInterval: interval, sessions: make(map[model.EntryID]*session)}
+}
 
 // Attach sets the control actor, which needs the hub itself to be created.
 func (h *Hub) Attach(core Core) {
