Read worker changes in small pieces and report measurements more often

Reading the changes of 0.9 s at once held up the orders on a link of 2 Mbit/s for 0.2 s; measurements 0.7 s apart let a serving task stay over its target.

--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -27,9 +27,9 @@
 	// leadershipRetryDelay is the delay after a failed campaign, a failed renewal of the lease or a lost leadership.
 	leadershipRetryDelay = 250 * time.Millisecond
 	// workerReadInterval is the pause between two reads of changes to the list of workers, of which there are always
-	// some, since workers renew their records. A worker that leaves must not be sent new tasks for more than a few
-	// seconds.
-	workerReadInterval = 900 * time.Millisecond
+	// some, since workers renew their records. Longer pauses would not read less, but in larger pieces, which delay
+	// orders on a slow link.
+	workerReadInterval = 200 * time.Millisecond
 	// workerResyncInterval is the time between two reads of the whole list of workers. Changes in between are watched.
 	workerResyncInterval = 30 * time.Second
 )
--- a/internal/transport/relay/hub.go
+++ b/internal/transport/relay/hub.go
@@ -45,7 +45,7 @@
 	// and slowLinkBatchInterval that of an entry whose link has less than slowLinkMbps: each batch costs some hundred
 	// bytes.
 	batchInterval         = 10 * time.Millisecond
-	slowLinkBatchInterval = 40 * time.Millisecond
+	slowLinkBatchInterval = 20 * time.Millisecond
 	slowLinkMbps          = 50
 )
 
