--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -21,8 +21,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// stateReadTimeout limits reading the whole state after a change of leader, which takes several pages.
 	stateReadTimeout = 3 * time.Second
-	// longPollGrace is added to the wait time of a long poll to leave time for its response.
-	longPollGrace = 700 * time.Millisecond
+	// longPollGrace is added to the wait time of a long poll to leave time for its response, which may be large. The store
+	// client gives up much earlier if the response makes no progress.
+	longPollGrace = 4 * time.Second
 	// orderTimeout limits an order to a worker. A round trip between regions takes 25 ms; the rest of the time allows
 	// for processes that are short of CPU time.
 	orderTimeout = 400 * time.Millisecond
