Read the newest configuration during a burst, keep relays without a record

A watch returns every version in full, so that 25 configurations in 2 s filled the links of all entries; the leader lost its relays and then its lead. After two changes within 1 s an entry reads only the newest one, every 0.5 s. Relays no longer leave a leader whose record has lapsed until another entry leads, and an entry is no relay of its own.

--- a/internal/coordination/scheduler/config.go
+++ b/internal/coordination/scheduler/config.go
@@ -16,6 +16,10 @@
 	// readBackoffMin and readBackoffMax bound the delay before a failed read is retried.
 	readBackoffMin = 50 * time.Millisecond
 	readBackoffMax = 400 * time.Millisecond
+	// Changes of the configuration less than configBurstGap apart are a burst. A watch returns every version in full, so
+	// that during a burst the newest one is read every configBurstPause instead.
+	configBurstGap   = time.Second
+	configBurstPause = 500 * time.Millisecond
 )
 
 // readRetry tracks the retries of one recurring read, with exponential back-off.
@@ -66,6 +70,10 @@
 	loaded   bool
 	revision model.Revision
 	retry    readRetry
+	// changedAt is when the configuration last changed here.
+	changedAt time.Time
+	// readNewestAt is when to read the newest configuration during a burst; zero otherwise.
+	readNewestAt time.Time
 }
 
 func (Start) apply(c *Core, _ time.Time) {
@@ -92,10 +100,26 @@
 		if d := c.leadership.dispatcher; d != nil {
 			d.SetRoutes(ev.Config.Routes)
 		}
+		inBurst := now.Sub(s.changedAt) < configBurstGap
+		s.changedAt = now
+		if inBurst {
+			s.readNewestAt = now.Add(configBurstPause)
+			return
+		}
 	}
 	c.watchConfig()
 }
 
+// readNewestConfig reads the newest configuration during a burst of changes, when that is due.
+func (c *Core) readNewestConfig(now time.Time) {
+	s := &c.config
+	if s.readNewestAt.IsZero() || now.Before(s.readNewestAt) {
+		return
+	}
+	s.readNewestAt = time.Time{}
+	c.emit(WatchConfig{})
+}
+
 // readFailed schedules a retry of a failed read and logs the first of consecutive failures.
 func (c *Core) readFailed(now time.Time, r *readRetry, name string, err error) {
 	if r.recordFailure(now) {
@@ -115,6 +139,7 @@
 	if c.config.retry.startIfDue(now) {
 		c.watchConfig()
 	}
+	c.readNewestConfig(now)
 	if c.leadership.watchRetry.startIfDue(now) {
 		c.watchLeader()
 	}
--- a/internal/transport/jobdaemon/daemon.go
+++ b/internal/transport/jobdaemon/daemon.go
@@ -104,7 +104,7 @@
 		return nil, errors.Trace(err)
 	}
 	d.agent = relay.StartAgent(relay.AgentOptions{
-		Entry: core.Entry, Incarnation: core.Incarnation, DataCentre: jobSettings.DataCentre,
+		Entry: core.Entry, Address: core.Address, Incarnation: core.Incarnation, DataCentre: jobSettings.DataCentre,
 		MaxWorkers:    scheduler.MaxWorkers(core.Cores, core.LinkMbps),
 		BatchInterval: relay.BatchInterval(core.LinkMbps), Core: actor, Workers: adapter.Workers,
 		Client: newPeerHTTPClient(), Logger: logger,
--- a/internal/transport/relay/agent.go
+++ b/internal/transport/relay/agent.go
@@ -29,7 +29,9 @@
 
 // AgentOptions describe an entry as a relay.
 type AgentOptions struct {
-	Entry       model.EntryID
+	Entry model.EntryID
+	// Address is where this entry serves the others.
+	Address     string
 	Incarnation model.Incarnation
 	DataCentre  model.DataCentre
 	// MaxWorkers is the number of workers that the entry can carry orders to.
@@ -71,7 +73,7 @@
 func (a *Agent) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		view := a.options.Core.Snapshot()
-		if view.Leading || view.LeaderAddress == "" || view.Draining {
+		if view.LeaderAddress == "" || view.LeaderAddress == a.options.Address || view.Draining {
 			sleep(ctx, followInterval)
 			continue
 		}
@@ -112,14 +114,16 @@
 	}
 }
 
-// watchLeader calls changed when another entry leads or this entry drains.
+// watchLeader calls changed when another entry leads or this entry drains. While no leader is known, the former one may
+// go on, for example because the store turns it away.
 func (a *Agent) watchLeader(ctx context.Context, address string, changed func()) {
 	ticker := time.NewTicker(followInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			if view := a.options.Core.Snapshot(); view.Leading || view.LeaderAddress != address || view.Draining {
+			view := a.options.Core.Snapshot()
+			if (view.LeaderAddress != "" && view.LeaderAddress != address) || view.Draining {
 				changed()
 				return
 			}
