--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -90,6 +90,8 @@
 		d.markDead(now, w, "another-boot")
 	case response.NoListener && w.Draining && !w.listed:
 		d.markDead(now, w, "left")
+	case response.Err != nil && response.FromRelay:
+		d.avoidRelay(now, w)
 	case response.Err != nil || response.Refusal != job.RefusedNone:
 		return
 	default:
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -13,6 +13,9 @@
 // sends the first holds. They learn of the leader within some tens of milliseconds.
 const relaySettleTime = 300 * time.Millisecond
 
+// relayAvoidTime is how long an entry that did not reach a worker is not used for it.
+const relayAvoidTime = 5 * time.Second
+
 // Relay is an entry that can carry the leader's orders to workers.
 type Relay struct {
 	Entry      model.EntryID
@@ -71,6 +74,17 @@
 	d.relays.changed = true
 }
 
+// avoidRelay reaches a worker in another way after its relay got no response. The relay may be cut off from the worker
+// while others reach it.
+func (d *Dispatcher) avoidRelay(now time.Time, w *worker) {
+	if w.relay == "" || !d.needsRelays() {
+		return
+	}
+	w.avoidedRelay, w.avoidRelayUntil = w.relay, now.Add(relayAvoidTime)
+	w.relay, w.nextHold = "", now
+	d.relays.changed = true
+}
+
 // needsRelays reports whether the fleet is larger than the leader can serve itself.
 func (d *Dispatcher) needsRelays() bool {
 	return d.settings.MaxDirectWorkers > 0 && len(d.sortedWorkers) > d.settings.MaxDirectWorkers
@@ -102,9 +116,9 @@
 	byDataCentre := d.relays.byDataCentre()
 	direct := 0
 	for _, w := range unassigned {
-		s := firstWithCapacity(byDataCentre[w.DataCentre])
+		s := firstForWorker(now, byDataCentre[w.DataCentre], w)
 		if s == nil {
-			s = d.relays.mostCapacity()
+			s = d.relays.mostCapacity(now, w)
 		}
 		if s == nil {
 			direct++
@@ -137,20 +151,25 @@
 	return cmp.Or(cmp.Compare(b.MaxWorkers, a.MaxWorkers), cmp.Compare(a.Entry, b.Entry))
 }
 
-func firstWithCapacity(list []*relayState) *relayState {
+// suits reports whether a relay can be assigned to a worker.
+func (s *relayState) suits(now time.Time, w *worker) bool {
+	return s.hasCapacity() && (s.Entry != w.avoidedRelay || !now.Before(w.avoidRelayUntil))
+}
+
+func firstForWorker(now time.Time, list []*relayState, w *worker) *relayState {
 	for _, s := range list {
-		if s.hasCapacity() {
+		if s.suits(now, w) {
 			return s
 		}
 	}
 	return nil
 }
 
-// mostCapacity returns the relay of any data centre with the most capacity left, or nil.
-func (r *relays) mostCapacity() *relayState {
+// mostCapacity returns the relay of any data centre with the most capacity left for a worker, or nil.
+func (r *relays) mostCapacity(now time.Time, w *worker) *relayState {
 	var best *relayState
 	for _, s := range r.offered {
-		if !s.hasCapacity() {
+		if !s.suits(now, w) {
 			continue
 		}
 		if best == nil || s.MaxWorkers-s.workers > best.MaxWorkers-best.workers ||
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -85,8 +85,11 @@
 	orderedRuns []*run
 	used        model.Resources
 	// relay is the entry that carries orders to the worker; empty means the leader itself.
-	relay  model.EntryID
-	health health
+	relay model.EntryID
+	// avoidedRelay is an entry that did not reach the worker; it is not assigned again before avoidRelayUntil.
+	avoidedRelay    model.EntryID
+	avoidRelayUntil time.Time
+	health          health
 	// forecast is nil after a report or a change of what runs on the worker.
 	forecast *workerForecast
 	// recentlyEnded are the best-effort tasks whose CPU use the next report still covers in part.
--- a/internal/protocol/relaybatch/relaybatch.go
+++ b/internal/protocol/relaybatch/relaybatch.go
@@ -175,9 +175,9 @@
 	r := job.OrderResponse{Clock: milliseconds(m.GetClockMillis()), NoListener: m.GetNoListener()}
 	switch {
 	case m.GetVerdict() == jobspb.Verdict_VERDICT_NOT_RUN:
-		r.Err = verdict.NotRunError("the relay did not send the order", nil)
+		r.Err, r.FromRelay = verdict.NotRunError("the relay did not send the order", nil), true
 	case m.GetVerdict() != jobspb.Verdict_VERDICT_UNSPECIFIED || m.GetRefusal() > maxRefusal:
-		r.Err = verdict.MayHaveRunError("the relay got no response", nil)
+		r.Err, r.FromRelay = verdict.MayHaveRunError("the relay got no response", nil), true
 	default:
 		r.Refusal = job.RefusalKind(m.GetRefusal())
 	}
--- a/internal/state/job/worker.go
+++ b/internal/state/job/worker.go
@@ -115,6 +115,9 @@
 	Clock time.Duration
 	// NoListener means that no process listens on the worker's address.
 	NoListener bool
+	// FromRelay means that Err is what the entry that carried the order met with the worker, and not a failure between
+	// that entry and the leader.
+	FromRelay bool
 	// Err is set if no answer arrived or the order was not sent; verdict.Of says whether the order may take effect.
 	Err error
 }
