Rank the workers once for all tasks of a step

Each task looked at every worker. Placing a task changes the score of its worker only, so a step now keeps a heap of candidates. TestRankingPlacesLikeSingleChoices shows that tasks are placed as before.

--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -129,11 +129,12 @@
 		p.placeGang(s, route)
 		return
 	}
+	var r *ranking
 	for _, t := range s.tasks {
 		if !t.waiting || p.d.mayBeRunning(t) {
 			continue
 		}
-		w := p.chooseWorker(t, route)
+		w := p.nextWorker(&r, t, route)
 		if w == nil {
 			p.requestAdvice(t, route)
 			p.logLongWait(t, route)
@@ -158,58 +159,6 @@
 	return false
 }
 
-// scoredWorker is a candidate worker for a task.
-type scoredWorker struct {
-	worker *worker
-	score  float64
-	// accepted is false if a task that can wait should not start on the worker.
-	accepted bool
-}
-
-// betterThan reports whether a candidate is better than another. If they are equal, it is not.
-func (c scoredWorker) betterThan(other scoredWorker) bool {
-	if c.accepted != other.accepted || other.worker == nil {
-		return c.accepted || other.worker == nil
-	}
-	return c.score > other.score
-}
-
-// chooseWorker returns the best worker for a task, or nil.
-func (p *pass) chooseWorker(t *task, route job.Route) *worker {
-	if p.knownTooLarge(t.step, route) {
-		return nil
-	}
-	kind := bestEffortKind{route.Service, t.step.Image, t.owner.workValue}
-	canWait := t.step.BestEffort && (p.now.Sub(t.readySince) < bestEffortMaxWait || t.owner.hasRuns())
-	if canWait && p.rejectedKinds[kind] {
-		return nil
-	}
-	var best scoredWorker
-	anyRoom := false
-	for _, w := range p.d.sortedWorkers {
-		if !p.acceptsStarts(w, route) || !reservedSize(t.step).FitsIn(w.free()) || p.reserved[w] && !t.step.BestEffort {
-			continue
-		}
-		anyRoom = true
-		if t.step.BestEffort && !p.leavesMemory(t.step, w) || !p.meetsConstraints(t, w) || !p.hasPermit(t.step, w, route) {
-			continue
-		}
-		if c := p.scoreWorker(t, w); c.betterThan(best) {
-			best = c
-		}
-	}
-	if !anyRoom {
-		p.tooLarge = append(p.tooLarge, unplacedSize{route.Service, t.step.BestEffort, reservedSize(t.step)})
-	}
-	if !best.accepted && t.step.BestEffort {
-		p.rejectedKinds[kind] = true
-	}
-	if !best.accepted && canWait {
-		return nil
-	}
-	return best.worker
-}
-
 // acceptsStarts reports whether a worker of the route's service may get starts now.
 func (p *pass) acceptsStarts(w *worker, route job.Route) bool {
 	return w.fenced && w.open && !w.dead && w.Service == route.Service &&
