Do not count a leader's own delay as silence of workers

A worker whose last answer was 1.8 s old counted as unreachable, also when the leader had been paused or could not get to its answers; its leases were no longer renewed. The leader now measures the gaps between its ticks and the age of its queue, and adds that to the time that it allows.

TestPausedLeaderGivesNoWorkUp fails without the change.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -73,6 +73,7 @@
 
 	recovery         recovery
 	relays           relays
+	lagMeter         lagMeter
 	interference     interferenceModel
 	stepKinds        map[stepKind]int
 	opportunityCosts opportunityCosts
@@ -140,6 +141,7 @@
 
 // Tick does the periodic work: retries, timeouts and placement. It is called at a fixed interval.
 func (d *Dispatcher) Tick(now time.Time) {
+	d.lagMeter.tick(now)
 	d.openDueOccurrences(now)
 	d.retryOrders(now)
 	d.checkWorkers(now)
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -38,7 +38,7 @@
 	}
 	// The lease of an unreachable worker is not renewed: holds that arrive late would postpone the time at which its
 	// leases are known to have expired.
-	if w.fenced && now.Sub(w.answeredAt) <= maxAnswerAge {
+	if w.fenced && d.answeredRecently(now, w) {
 		h.LeaseEnd = d.extendLease(now, w)
 		if w.lastProcessedEnd == w.lastCommittedEnd && !w.unreachable {
 			h.Wait = w.holdWaitLimit()
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -33,7 +33,7 @@
 	// leaseRequestMargin keeps a requested lease within the worker's maximum, which is counted from the arrival of
 	// the request.
 	leaseRequestMargin = 50 * time.Millisecond
-	// maxAnswerAge is the maximum age of a worker's last answer for starts to be sent to it.
+	// maxAnswerAge is the maximum age of a worker's last answer for starts to be sent to it and its leases to be renewed.
 	maxAnswerAge = 1800 * time.Millisecond
 )
 
@@ -75,7 +75,7 @@
 	restartedAt time.Time
 	// answeredAt is when the last answer to a hold arrived.
 	answeredAt time.Time
-	// unreachable is set while the last answer is older than maxAnswerAge.
+	// unreachable is set while the worker has not answered recently.
 	unreachable bool
 	// inventories counts the inventories of the worker.
 	inventories uint64
@@ -262,7 +262,7 @@
 			d.checkUnfenced(now, w)
 		case w.drained():
 			d.markDead(now, w, "empty")
-		case now.Sub(w.answeredAt) > maxAnswerAge && !w.unreachable:
+		case !d.answeredRecently(now, w) && !w.unreachable:
 			w.unreachable = true
 			d.updateOpen(w)
 			d.logEvent(notice.WorkerUnreachable, Attr{Key: "worker", Value: w.ID},
--- a/internal/coordination/scheduler/config.go
+++ b/internal/coordination/scheduler/config.go
@@ -135,7 +135,10 @@
 	}
 }
 
-func (Tick) apply(c *Core, now time.Time) {
+func (ev Tick) apply(c *Core, now time.Time) {
+	if d := c.leadership.dispatcher; d != nil && !ev.Queued.IsZero() {
+		d.ObserveLag(now.Sub(ev.Queued))
+	}
 	if c.config.retry.startIfDue(now) {
 		c.watchConfig()
 	}
--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -19,7 +19,10 @@
 type Start struct{}
 
 // Tick triggers the work that depends on time alone, such as timeouts and retries.
-type Tick struct{}
+type Tick struct {
+	// Queued is when the event was queued; zero if that is not known.
+	Queued time.Time
+}
 
 // Batch is a sequence of events, after which decisions are made once.
 type Batch []Event
--- a/internal/transport/jobs/host.go
+++ b/internal/transport/jobs/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/jujubearch/jujubearch/internal/coordination/scheduler"
 	"github.com/jujubearch/jujubearch/internal/state/job"
@@ -24,7 +25,7 @@
 	a.Loop = actorloop.Start(actorloop.Options[scheduler.Event, scheduler.Action, scheduler.View]{
 		Core: scheduler.New(settings, random), ReplyOf: replyOf, Inline: executor.Inline, Perform: executor.Perform,
 		Merge: func(events []scheduler.Event) scheduler.Event { return scheduler.Batch(events) },
-		Tick:  func() scheduler.Event { return scheduler.Tick{} }, Interval: scheduler.TickInterval,
+		Tick:  func() scheduler.Event { return scheduler.Tick{Queued: time.Now()} }, Interval: scheduler.TickInterval,
 	})
 	return a, a.Send(ctx, scheduler.Start{})
 }
