--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -237,6 +237,8 @@
 	for i, j := range b.jobs {
 		if b.phases[i].Final() {
 			j.committedPhase, j.endedAt = b.phases[i], now
+			// Only the phase is needed from now on. Runs that are being stopped keep their tasks.
+			j.occurrences, j.Steps, j.Payload = nil, nil, ""
 			d.endedJobs = append(d.endedJobs, j)
 			if j.cancelPending {
 				j.cancelPending = false
--- a/internal/state/job/job.go
+++ b/internal/state/job/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/state/model"
@@ -138,9 +139,17 @@
 	Index      int
 }
 
+// maxIndexBytes is the usual length of the numbers in a task's name.
+const maxIndexBytes = 16
+
 // String returns the task as "job.occurrence.step.index".
 func (t Task) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+	text := make([]byte, 0, len(t.Job)+maxIndexBytes)
+	text = append(text, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		text = strconv.AppendInt(append(text, '.'), int64(n), 10)
+	}
+	return string(text)
 }
 
 // Run is one start of a task.
--- a/internal/transport/jobdaemon/daemon.go
+++ b/internal/transport/jobdaemon/daemon.go
@@ -78,7 +78,7 @@
 	}
 	d := &Daemon{
 		settings: jobSettings, logger: logger, droppedLines: adapter.DroppedLogLines,
-		hub: relay.NewHub(relay.BatchInterval(jobSettings.LinkMbps)),
+		hub: relay.NewHub(),
 	}
 	jobMetrics := jobs.NewMetrics()
 	if adapter.DroppedLogLines != nil {
@@ -105,8 +105,8 @@
 	}
 	d.agent = relay.StartAgent(relay.AgentOptions{
 		Entry: core.Entry, Address: core.Address, Incarnation: core.Incarnation, DataCentre: jobSettings.DataCentre,
-		MaxWorkers:    scheduler.MaxWorkers(core.Cores, core.LinkMbps),
-		BatchInterval: relay.BatchInterval(core.LinkMbps), Core: actor, Workers: adapter.Workers,
+		MaxWorkers: scheduler.MaxWorkers(core.Cores, core.LinkMbps),
+		Core:       actor, Workers: adapter.Workers,
 		Client: newPeerHTTPClient(), Logger: logger,
 	})
 	event.Log(logger, notice.ProcessStarted, notice.Attr{Key: "entry", Value: jobSettings.Entry},
--- a/internal/transport/relay/agent.go
+++ b/internal/transport/relay/agent.go
@@ -36,10 +36,8 @@
 	DataCentre  model.DataCentre
 	// MaxWorkers is the number of workers that the entry can carry orders to.
 	MaxWorkers int
-	// BatchInterval is the minimum time between two reports: the results of that time go together.
-	BatchInterval time.Duration
-	Core          Core
-	Workers       jobs.Workers
+	Core       Core
+	Workers    jobs.Workers
 	// Client makes the calls to the leader. It uses HTTP/1.1, so that a call that is given up closes its connection.
 	Client *http.Client
 	Logger *slog.Logger
--- a/internal/transport/relay/carrier.go
+++ b/internal/transport/relay/carrier.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		unsent = nil
-		sleep(c.ctx, c.options.BatchInterval)
+		sleep(c.ctx, batchInterval)
 	}
 }
 
--- a/internal/transport/relay/fleet_test.go
+++ b/internal/transport/relay/fleet_test.go
@@ -282,7 +282,7 @@
 
 func startLeader(t testing.TB, f *fleet, maxDirect int) *leaderUnderTest {
 	t.Helper()
-	l := &leaderUnderTest{hub: NewHub(batchInterval), store: newMemoryStore()}
+	l := &leaderUnderTest{hub: NewHub(), store: newMemoryStore()}
 	executor := &jobs.Executor{
 		Store: l.store, Workers: f, Directory: f, Relays: l.hub, Logger: testLogger(),
 		Metrics: jobs.NewMetrics(),
@@ -336,7 +336,7 @@
 	view.address.Store(&address)
 	a := StartAgent(AgentOptions{
 		Entry: model.EntryID(entry), Incarnation: 1, DataCentre: model.DataCentre(dataCentre), MaxWorkers: 400,
-		BatchInterval: batchInterval, Core: view, Workers: workers, Client: &http.Client{Transport: &http.Transport{}},
+		Core: view, Workers: workers, Client: &http.Client{Transport: &http.Transport{}},
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	t.Cleanup(a.Stop)
--- a/internal/transport/relay/hub.go
+++ b/internal/transport/relay/hub.go
@@ -41,27 +41,13 @@
 }
 
 const (
-	// batchInterval is the minimum time between two batches of orders or results on one way between leader and relay,
-	// and slowLinkBatchInterval that of an entry whose link has less than slowLinkMbps: each batch costs some hundred
-	// bytes.
-	batchInterval         = 10 * time.Millisecond
-	slowLinkBatchInterval = 20 * time.Millisecond
-	slowLinkMbps          = 50
+	// batchInterval is the minimum time between two batches of orders or results on one way between leader and relay.
+	// Each batch costs some hundred bytes and 0.1 ms of CPU time, however small it is.
+	batchInterval = 20 * time.Millisecond
 )
 
-// BatchInterval returns the minimum time between two batches that an entry with the given link, in megabits per second
-// or 0 if unknown, sends on one way.
-func BatchInterval(linkMbps float64) time.Duration {
-	if linkMbps > 0 && linkMbps < slowLinkMbps {
-		return slowLinkBatchInterval
-	}
-	return batchInterval
-}
-
 // Hub is the leader's side. It is safe for concurrent use.
 type Hub struct {
-	batchInterval time.Duration
-
 	mu       sync.Mutex
 	core     Core
 	epoch    model.Epoch
@@ -70,11 +56,8 @@
 	sweeping bool
 }
 
-// NewHub returns a hub without relays that hands out batches of orders to one relay at the given interval. Attach must
-// be called before its handler is served.
-func NewHub(interval time.Duration) *Hub {
-	return &Hub{batchInterval: interval, sessions: make(map[model.EntryID]*session)}
-}
+// NewHub returns a hub without relays. Attach must be called before its handler is served.
+func NewHub() *Hub { return &Hub{sessions: make(map[model.EntryID]*session)} }
 
 // Attach sets the control actor, which needs the hub itself to be created.
 func (h *Hub) Attach(core Core) {
--- a/internal/transport/relay/reporter.go
+++ b/internal/transport/relay/reporter.go
@@ -11,7 +11,7 @@
 const (
 	// measureInterval is the minimum time between two inventories of one worker with measurements. Workers measure over
 	// half a second; inventories in between show only what has started or ended.
-	measureInterval = 150 * time.Millisecond
+	measureInterval = 200 * time.Millisecond
 	// checkpointInterval is the minimum time between two inventories with checkpoints. The leader needs them only if the
 	// worker is lost.
 	checkpointInterval = 2 * time.Second
--- a/internal/transport/relay/server.go
+++ b/internal/transport/relay/server.go
@@ -52,7 +52,7 @@
 func (h *Hub) waitForOrders(ctx context.Context, s *session) *jobspb.PollResponse {
 	h.mu.Lock()
 	s.polls++
-	poll, earliest := s.polls, s.respondedAt.Add(h.batchInterval)
+	poll, earliest := s.polls, s.respondedAt.Add(batchInterval)
 	s.polling = true
 	h.mu.Unlock()
 	defer func() {
