Contain a panic of the control core

A panic in a step was taken by the actor library, which went on with whatever state it left. The core now logs it, gives its leadership up if it has one, and processes the other events of the batch.

--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -29,7 +29,7 @@
 
 func (b Batch) apply(c *Core, now time.Time) {
 	for _, ev := range b {
-		ev.apply(c, now)
+		c.guard(now, func() { ev.apply(c, now) })
 	}
 }
 
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -4,14 +4,17 @@
 //
 // Guarantees: an entry dispatches only after one transaction has written both its leader record and the commit record,
 // and for no longer than Settings.MaxUnconfirmed after the store last confirmed its leadership. The configuration in
-// force never goes back to a lower version.
+// force never goes back to a lower version. An event that can't be processed costs at most the leadership of this entry,
+// not the process.
 //
 // The leader record names the leader and is attached to its lease. The commit record is rewritten by every commit of a
 // leader, which expects the revision that the previous commit left; a leader that was replaced can't commit any more.
 package scheduler
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/coordination/dispatch"
@@ -82,14 +85,35 @@
 
 // Step processes an event and returns the actions to carry out.
 func (c *Core) Step(now time.Time, ev Event) []Action {
-	ev.apply(c, now)
-	c.runDispatcher(now)
+	c.guard(now, func() { ev.apply(c, now) })
+	c.guard(now, func() { c.runDispatcher(now) })
 	c.publish()
 	actions := c.actions
 	c.actions = nil
 	return actions
 }
 
+// maxStackBytes bounds the stack in the log event of a panic.
+const maxStackBytes = 2048
+
+// guard runs a part of a step. After a panic the state of the dispatcher may be inconsistent: it is given up together
+// with the leadership, and the entry goes on as a follower.
+func (c *Core) guard(now time.Time, part func()) {
+	defer func() {
+		reason := recover()
+		if reason == nil {
+			return
+		}
+		stack := debug.Stack()
+		c.notify(notice.StepPanicked, dispatch.Attr{Key: "error", Value: fmt.Sprint(reason)},
+			dispatch.Attr{Key: "stack", Value: string(stack[:min(len(stack), maxStackBytes)])})
+		if c.leadership.stage != following {
+			c.stepDown(now, "internal error")
+		}
+	}()
+	part()
+}
+
 // runDispatcher lets the dispatcher make decisions after an event and converts its actions to actions of the core.
 func (c *Core) runDispatcher(now time.Time) {
 	d := c.leadership.dispatcher
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -70,6 +70,7 @@
 	RecoveryEnded       Code = 7105
 	CommitDelayed       Code = 7106
 	LeaseNotRevoked     Code = 7107
+	StepPanicked        Code = 7108
 	RunPlaced           Code = 7201
 	RunEnded            Code = 7202
 	StartRefused        Code = 7203
@@ -155,6 +156,7 @@
 	RecoveryEnded:       {"recovery-ended", Info, "recovery is complete; the runs of every worker are known"},
 	CommitDelayed:       {"commit-delayed", Warn, "the outcome of a progress commit is unknown; it is retried"},
 	LeaseNotRevoked:     {"lease-kept", Warn, "a lease could not be revoked; it expires by itself"},
+	StepPanicked:        {"step-panicked", Error, "an event could not be processed; a leader gives its leadership up"},
 	RunPlaced:           {"run-placed", Info, "a task was placed on a worker"},
 	RunEnded:            {"run-ended", Info, "a worker reported the end of a run"},
 	StartRefused:        {"start-refused", Warn, "a worker refused to start a task; the task is rescheduled"},
