Check permissions at the moment of use

A leader that was paused for longer than its leadership is valid acted on the events queued meanwhile before its next tick noticed; it now checks before each round of decisions, on the clock that goes on while the VM is suspended. A start that was decided over 0.5 s before it could be sent is not sent. While the operators' token file can't be read, the token read last stays valid, not the one from the start of the process, which may have been withdrawn.

--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -277,6 +277,8 @@
 type Dispatch struct {
 	Epoch  model.Epoch
 	Action dispatch.Action
+	// DecidedAt is when the action was decided. An old start must not be sent any more.
+	DecidedAt time.Time
 }
 
 // LogEvent writes an event to the log.
--- a/internal/coordination/scheduler/guard_test.go
+++ b/internal/coordination/scheduler/guard_test.go
@@ -44,3 +44,25 @@
 	}
 	assert.Assert(t, logged && revoked)
 }
+
+// Guards against a leader that was paused for longer than its leadership is valid and acts on the first event after it
+// wakes, before it notices.
+func TestLeaderThatWakesLateGivesNoOrders(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	for _, pause := range []time.Duration{time.Second, 5 * time.Second, 7 * time.Second, 30 * time.Second} {
+		c := New(Settings{Entry: "e", Incarnation: 1, LeaderTTL: 2 * time.Second, MaxUnconfirmed: 6 * time.Second},
+			rand.New(rand.NewPCG(1, 1)))
+		c.leadership.stage, c.leadership.epoch, c.leadership.lease, c.leadership.confirmedAt = leading, 5, 7, now
+		d := dispatch.New(dispatch.Settings{MaxLease: 6 * time.Second}, 5)
+		d.Recover(now, dispatch.RecoveryState{})
+		c.leadership.dispatcher = d
+		c.Step(now, WorkersRead{Complete: true, Workers: []job.Worker{{ID: "w", Address: "a", Service: "s", Boot: 1}}})
+		orders := 0
+		for _, a := range c.Step(now.Add(pause), HoldDone{Target: dispatch.Target{Worker: "w", Epoch: 5}}) {
+			if _, ok := a.(Dispatch); ok {
+				orders++
+			}
+		}
+		assert.Equal(t, orders > 0, pause < 6*time.Second, "%d orders after %v", orders, pause)
+	}
+}
--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -312,11 +312,17 @@
 	c.emit(ReadState{Term: l.term})
 }
 
+// leadershipExpired reports whether the store has not confirmed the leadership for Settings.MaxUnconfirmed. The time
+// counts while the process or its VM is suspended.
+func (c *Core) leadershipExpired(now time.Time) bool {
+	return model.Elapsed(c.leadership.confirmedAt, now) > c.settings.MaxUnconfirmed
+}
+
 // keepLeadership renews the lease. It steps down if the store has not confirmed the leadership for
 // Settings.MaxUnconfirmed.
 func (c *Core) keepLeadership(now time.Time) {
 	l := &c.leadership
-	if now.Sub(l.confirmedAt) > c.settings.MaxUnconfirmed {
+	if c.leadershipExpired(now) {
 		c.stepDown(now, "the store did not confirm the leadership in time")
 		return
 	}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -120,6 +120,10 @@
 	if d == nil {
 		return
 	}
+	if c.leadershipExpired(now) {
+		c.stepDown(now, "the store did not confirm the leadership in time")
+		return
+	}
 	if !c.leadership.resigning {
 		d.Advance(now)
 	}
@@ -133,7 +137,7 @@
 		case dispatch.LogEvent:
 			c.emit(LogEvent{Code: a.Code, Attrs: a.Attrs})
 		default:
-			c.emit(Dispatch{Epoch: c.leadership.epoch, Action: a})
+			c.emit(Dispatch{Epoch: c.leadership.epoch, Action: a, DecidedAt: now})
 		}
 	}
 }
--- a/internal/transport/daemon/daemon.go
+++ b/internal/transport/daemon/daemon.go
@@ -257,7 +257,8 @@
 }
 
 // newTokenReader returns a function that reads the operators' token file on each call, so that a replaced token takes
-// effect at once. While the file is unreadable or empty, it returns the token read at start-up.
+// effect at once. While the file is unreadable or empty, it returns the token that was read last. The function is safe
+// for concurrent use.
 func newTokenReader(file string) (func() string, error) {
 	if file == "" {
 		return func() string { return "" }, nil
@@ -277,10 +278,12 @@
 	if err != nil {
 		return nil, err
 	}
+	var last atomic.Pointer[string]
+	last.Store(&initial)
 	return func() string {
 		if token, err := read(); err == nil {
-			return token
+			last.Store(&token)
 		}
-		return initial
+		return *last.Load()
 	}, nil
 }
--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -11,6 +11,7 @@
 	"github.com/jujubearch/jujubearch/internal/coordination/scheduler"
 	"github.com/jujubearch/jujubearch/internal/protocol/jobrecord"
 	"github.com/jujubearch/jujubearch/internal/state/job"
+	"github.com/jujubearch/jujubearch/internal/state/model"
 	"github.com/jujubearch/jujubearch/internal/state/notice"
 	"github.com/jujubearch/jujubearch/internal/state/verdict"
 	"github.com/jujubearch/jujubearch/internal/transport/event"
@@ -27,6 +28,8 @@
 	// orderTimeout limits an order to a worker. A round trip between regions takes 25 ms; the rest of the time allows
 	// for processes that are short of CPU time.
 	orderTimeout = 400 * time.Millisecond
+	// MaxOrderAge is the time after its decision, or after its arrival at a relay, within which an order is sent.
+	MaxOrderAge = 500 * time.Millisecond
 	// holdGrace is added to the time for which a worker may delay its response to a hold.
 	holdGrace = 500 * time.Millisecond
 	// A request to the advice service is limited to adviceQueueFactor times its own processing time, because it queues
@@ -256,6 +259,10 @@
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout(a.Action))
 	defer cancel()
 	start := time.Now()
+	if _, isStart := a.Action.(dispatch.Start); isStart && model.Elapsed(a.DecidedAt, start) > MaxOrderAge {
+		tooOld := job.OrderResponse{Err: verdict.NotRunError("the process was paused before the start was sent", nil)}
+		return scheduler.OrderDone{Order: a.Action, Response: tooOld}
+	}
 	response := SendOrder(ctx, e.Workers, a.Action)
 	e.Metrics.observeOrder(a.Action, response, start)
 	return scheduler.OrderDone{Order: a.Action, Response: response}
--- a/internal/transport/relay/carrier.go
+++ b/internal/transport/relay/carrier.go
@@ -20,8 +20,6 @@
 const (
 	// maxResultsPerReport bounds one report.
 	maxResultsPerReport = 500
-	// maxOrderAge is the time after its arrival within which an order is sent.
-	maxOrderAge = 500 * time.Millisecond
 )
 
 // carrier carries out the orders of one session.
@@ -79,7 +77,7 @@
 // carry sends an order to its worker and adds the result to the next report.
 func (c *carrier) carry(o relaybatch.Order, arrived time.Time) {
 	now := time.Now()
-	if model.Elapsed(arrived, now) > maxOrderAge {
+	if model.Elapsed(arrived, now) > jobs.MaxOrderAge {
 		c.addResult(relaybatch.ResultToProto(o.ID, refused(nil)))
 		return
 	}
