Keep forecasts for 100 ms and over reports without measurements

BenchmarkLeader with serving tasks on all workers: forecasts and estimates took a third of the decisions.

--- a/internal/coordination/dispatch/estimate.go
+++ b/internal/coordination/dispatch/estimate.go
@@ -5,7 +5,7 @@
 const (
 	// forecastMaxAge is how long a forecast is used while nothing starts or ends on its worker. The load of serving
 	// tasks changes little within that time.
-	forecastMaxAge = 50 * time.Millisecond
+	forecastMaxAge = 100 * time.Millisecond
 	// kindSizeMillis is the granularity of sizes, in thousandths of a core, within which best-effort steps of one image
 	// share their estimates.
 	kindSizeMillis = 500
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -107,7 +107,10 @@
 		w.deliveredAcknowledgement = max(w.deliveredAcknowledgement, w.sentAcknowledgement)
 	}
 	w.Boot = max(w.Boot, inv.Boot)
-	w.clock, w.clockAt, w.answeredAt, w.forecast = inv.Clock, now, now, nil
+	w.clock, w.clockAt, w.answeredAt = inv.Clock, now, now
+	if !inv.Unmeasured {
+		w.forecast = nil
+	}
 	// An answer that was read late, because this process was paused, does not show that the worker has not restarted
 	// since.
 	w.answeredPromptly = model.Elapsed(sent, now) <= w.requestedWait+acknowledgeWindow
--- a/internal/transport/relay/bench_test.go
+++ b/internal/transport/relay/bench_test.go
@@ -28,7 +28,12 @@
 			for i := range dataCentres {
 				l.startAgent(b, fmt.Sprint("relay-", i), fmt.Sprint("dc-", i), f)
 			}
-			time.Sleep(2 * relaySettle)
+			time.Sleep(relaySettle)
+			const servingTasks = 24
+			for n := range 6 * workers / servingTasks {
+				l.submit(b, servingJob(n, servingTasks))
+			}
+			time.Sleep(relaySettle)
 			requests, bytes, calls, starts := l.requests.Load(), l.bytes.Load(), f.calls.Load(), f.starts.Load()
 			interval := time.Duration(float64(time.Second) * tasks / (2.3 * float64(workers)))
 			n := 0
--- a/internal/transport/relay/fleet_test.go
+++ b/internal/transport/relay/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -145,7 +146,12 @@
 func newFleet(workers, dataCentres int) *fleet {
 	f := &fleet{
 		started: time.Now(), workers: make(map[model.WorkerID]*fleetWorker), running: make(map[job.Task]model.WorkerID),
-		runTime: func(job.Run) time.Duration { return 700 * time.Millisecond },
+		runTime: func(run job.Run) time.Duration {
+			if isServing(run.Task.Job) {
+				return time.Hour
+			}
+			return 700 * time.Millisecond
+		},
 	}
 	for i := range workers {
 		id := model.WorkerID(fmt.Sprintf("i-%08x", i))
@@ -201,9 +207,13 @@
 		}
 		inv := job.Inventory{Boot: 1, Clock: f.clock(), Ended: append([]job.EndedTask(nil), w.ended...)}
 		for run, at := range w.runs {
-			inv.Running = append(inv.Running, job.RunningTask{
+			row := job.RunningTask{
 				Run: run, Percent: int(time.Since(at) / (10 * time.Millisecond) % 100), Measurement: float64(rand.IntN(1000)),
-			})
+			}
+			if isServing(run.Task.Job) {
+				row.Percent, row.Measurement = 100, float64(40+rand.IntN(60))
+			}
+			inv.Running = append(inv.Running, row)
 		}
 		w.mu.Unlock()
 		if len(inv.Ended) > 0 {
@@ -370,6 +380,17 @@
 	return n
 }
 
+// isServing reports whether a job was made by servingJob.
+func isServing(id job.ID) bool { return id[0] == 'f' }
+
+// servingJob returns a job of long-running tasks that serve users.
+func servingJob(n, tasks int) *job.Job {
+	return &job.Job{ID: job.ID(fmt.Sprintf("f%015x", n)), Steps: []job.Step{{
+		Tasks: tasks, Size: model.Resources{CPUMillis: 2000, MemoryBytes: 2 << 30}, Estimate: time.Second,
+		Image: fmt.Sprint("serving-", n%12), LongRunning: true, TailLatencyTarget: 150 * time.Millisecond,
+	}}}
+}
+
 func testJob(id string, tasks int, bestEffort bool) *job.Job {
 	return &job.Job{ID: job.ID(id), Payload: strings.Repeat("p", 250), Steps: []job.Step{{
 		Tasks: tasks, Size: model.Resources{CPUMillis: 3500, MemoryBytes: 2 << 30}, Estimate: 700 * time.Millisecond,
@@ -377,10 +398,10 @@
 	}}}
 }
 
-// testLogger discards the log unless RELAY_TEST_LOG is set.
+// testLogger encodes the log and discards it, unless RELAY_TEST_LOG is set.
 func testLogger() *slog.Logger {
 	if os.Getenv("RELAY_TEST_LOG") != "" {
 		return slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
-	return slog.New(slog.DiscardHandler)
+	return slog.New(slog.NewJSONHandler(io.Discard, nil))
 }
