Stream orders and results between leader and relays

Repeated polls and reports cost the leader 0.19 ms each in net/http. Orders now come on one stream for each relay and results on another; a relay shows that it is alive with its reports.

--- a/internal/protocol/jobspb/jobspbconnect/relay.connect.go
+++ b/internal/protocol/jobspb/jobspbconnect/relay.connect.go
@@ -33,18 +33,23 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// RelayServicePollProcedure is the fully-qualified name of the RelayService's Poll RPC.
-	RelayServicePollProcedure = "/jujubearch.jobs.v1.RelayService/Poll"
+	// RelayServiceFollowProcedure is the fully-qualified name of the RelayService's Follow RPC.
+	RelayServiceFollowProcedure = "/jujubearch.jobs.v1.RelayService/Follow"
 	// RelayServiceReportProcedure is the fully-qualified name of the RelayService's Report RPC.
 	RelayServiceReportProcedure = "/jujubearch.jobs.v1.RelayService/Report"
+	// RelayServiceLeaveProcedure is the fully-qualified name of the RelayService's Leave RPC.
+	RelayServiceLeaveProcedure = "/jujubearch.jobs.v1.RelayService/Leave"
 )
 
 // RelayServiceClient is a client for the jujubearch.jobs.v1.RelayService service.
 type RelayServiceClient interface {
-	// Poll offers the caller as a relay and waits for orders to carry out.
-	Poll(context.Context, *jobspb.PollRequest) (*jobspb.PollResponse, error)
-	// Report returns results of orders.
-	Report(context.Context, *jobspb.ReportRequest) (*jobspb.ReportResponse, error)
+	// Follow offers the caller as a relay. The stream carries orders, and empty messages while there are none; it ends when
+	// the called entry does not lead any more.
+	Follow(context.Context, *jobspb.FollowRequest) (*connect.ServerStreamForClient[jobspb.FollowResponse], error)
+	// Report carries the results of a session's orders, and empty messages while there are none.
+	Report(context.Context) (*connect.ClientStreamForClientSimple[jobspb.ReportRequest, jobspb.ReportResponse], error)
+	// Leave says that a relay takes no more orders.
+	Leave(context.Context, *jobspb.LeaveRequest) (*jobspb.LeaveResponse, error)
 }
 
 // NewRelayServiceClient constructs a client for the jujubearch.jobs.v1.RelayService service. By
@@ -58,10 +63,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	relayServiceMethods := jobspb.File_jujubearch_jobs_v1_relay_proto.Services().ByName("RelayService").Methods()
 	return &relayServiceClient{
-		poll: connect.NewClient[jobspb.PollRequest, jobspb.PollResponse](
+		follow: connect.NewClient[jobspb.FollowRequest, jobspb.FollowResponse](
 			httpClient,
-			baseURL+RelayServicePollProcedure,
-			connect.WithSchema(relayServiceMethods.ByName("Poll")),
+			baseURL+RelayServiceFollowProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
 		report: connect.NewClient[jobspb.ReportRequest, jobspb.ReportResponse](
@@ -70,27 +75,35 @@
 			connect.WithSchema(relayServiceMethods.ByName("Report")),
 			connect.WithClientOptions(opts...),
 		),
+		leave: connect.NewClient[jobspb.LeaveRequest, jobspb.LeaveResponse](
+			httpClient,
+			baseURL+RelayServiceLeaveProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayServiceClient implements RelayServiceClient.
 type relayServiceClient struct {
-	poll   *connect.Client[jobspb.PollRequest, jobspb.PollResponse]
+	follow *connect.Client[jobspb.FollowRequest, jobspb.FollowResponse]
 	report *connect.Client[jobspb.ReportRequest, jobspb.ReportResponse]
+	leave  *connect.Client[jobspb.LeaveRequest, jobspb.LeaveResponse]
 }
 
-// Poll calls jujubearch.jobs.v1.RelayService.Poll.
-func (c *relayServiceClient) Poll(ctx context.Context, req *jobspb.PollRequest) (*jobspb.PollResponse, error) {
-	response, err := c.poll.CallUnary(ctx, connect.NewRequest(req))
-	if response != nil {
-		return response.Msg, err
-	}
-	return nil, err
+// Follow calls jujubearch.jobs.v1.RelayService.Follow.
+func (c *relayServiceClient) Follow(ctx context.Context, req *jobspb.FollowRequest) (*connect.ServerStreamForClient[jobspb.FollowResponse], error) {
+	return c.follow.CallServerStream(ctx, connect.NewRequest(req))
 }
 
 // Report calls jujubearch.jobs.v1.RelayService.Report.
-func (c *relayServiceClient) Report(ctx context.Context, req *jobspb.ReportRequest) (*jobspb.ReportResponse, error) {
-	response, err := c.report.CallUnary(ctx, connect.NewRequest(req))
+func (c *relayServiceClient) Report(ctx context.Context) (*connect.ClientStreamForClientSimple[jobspb.ReportRequest, jobspb.ReportResponse], error) {
+	return c.report.CallClientStreamSimple(ctx)
+}
+
+// Leave calls jujubearch.jobs.v1.RelayService.Leave.
+func (c *relayServiceClient) Leave(ctx context.Context, req *jobspb.LeaveRequest) (*jobspb.LeaveResponse, error) {
+	response, err := c.leave.CallUnary(ctx, connect.NewRequest(req))
 	if response != nil {
 		return response.Msg, err
 	}
@@ -99,10 +112,13 @@
 
 // RelayServiceHandler is an implementation of the jujubearch.jobs.v1.RelayService service.
 type RelayServiceHandler interface {
-	// Poll offers the caller as a relay and waits for orders to carry out.
-	Poll(context.Context, *jobspb.PollRequest) (*jobspb.PollResponse, error)
-	// Report returns results of orders.
-	Report(context.Context, *jobspb.ReportRequest) (*jobspb.ReportResponse, error)
+	// Follow offers the caller as a relay. The stream carries orders, and empty messages while there are none; it ends when
+	// the called entry does not lead any more.
+	Follow(context.Context, *jobspb.FollowRequest, *connect.ServerStream[jobspb.FollowResponse]) error
+	// Report carries the results of a session's orders, and empty messages while there are none.
+	Report(context.Context, *connect.ClientStream[jobspb.ReportRequest]) (*jobspb.ReportResponse, error)
+	// Leave says that a relay takes no more orders.
+	Leave(context.Context, *jobspb.LeaveRequest) (*jobspb.LeaveResponse, error)
 }
 
 // NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -112,24 +128,32 @@
 // and JSON codecs. They also support gzip compression.
 func NewRelayServiceHandler(svc RelayServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	relayServiceMethods := jobspb.File_jujubearch_jobs_v1_relay_proto.Services().ByName("RelayService").Methods()
-	relayServicePollHandler := connect.NewUnaryHandlerSimple(
-		RelayServicePollProcedure,
-		svc.Poll,
-		connect.WithSchema(relayServiceMethods.ByName("Poll")),
+	relayServiceFollowHandler := connect.NewServerStreamHandlerSimple(
+		RelayServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(relayServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
-	relayServiceReportHandler := connect.NewUnaryHandlerSimple(
+	relayServiceReportHandler := connect.NewClientStreamHandlerSimple(
 		RelayServiceReportProcedure,
 		svc.Report,
 		connect.WithSchema(relayServiceMethods.ByName("Report")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayServiceLeaveHandler := connect.NewUnaryHandlerSimple(
+		RelayServiceLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(relayServiceMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/jujubearch.jobs.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case RelayServicePollProcedure:
-			relayServicePollHandler.ServeHTTP(w, r)
+		case RelayServiceFollowProcedure:
+			relayServiceFollowHandler.ServeHTTP(w, r)
 		case RelayServiceReportProcedure:
 			relayServiceReportHandler.ServeHTTP(w, r)
+		case RelayServiceLeaveProcedure:
+			relayServiceLeaveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -139,10 +163,14 @@
 // UnimplementedRelayServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedRelayServiceHandler struct{}
 
-func (UnimplementedRelayServiceHandler) Poll(context.Context, *jobspb.PollRequest) (*jobspb.PollResponse, error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubearch.jobs.v1.RelayService.Poll is not implemented"))
+func (UnimplementedRelayServiceHandler) Follow(context.Context, *jobspb.FollowRequest, *connect.ServerStream[jobspb.FollowResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("jujubearch.jobs.v1.RelayService.Follow is not implemented"))
 }
 
-func (UnimplementedRelayServiceHandler) Report(context.Context, *jobspb.ReportRequest) (*jobspb.ReportResponse, error) {
+func (UnimplementedRelayServiceHandler) Report(context.Context, *connect.ClientStream[jobspb.ReportRequest]) (*jobspb.ReportResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubearch.jobs.v1.RelayService.Report is not implemented"))
 }
+
+func (UnimplementedRelayServiceHandler) Leave(context.Context, *jobspb.LeaveRequest) (*jobspb.LeaveResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("jujubearch.jobs.v1.RelayService.Leave is not implemented"))
+}
--- a/internal/protocol/relaybatch/relaybatch.go
+++ b/internal/protocol/relaybatch/relaybatch.go
@@ -41,7 +41,7 @@
 
 // Add adds an order to a batch; an action that is no order to a worker is ignored. lastInventory is the number of the
 // last inventory of the worker.
-func (w *Writer) Add(batch *jobspb.PollResponse, id uint64, action dispatch.Action, lastInventory uint64) {
+func (w *Writer) Add(batch *jobspb.FollowResponse, id uint64, action dispatch.Action, lastInventory uint64) {
 	target, ok := dispatch.TargetOf(action)
 	if !ok {
 		return
@@ -68,7 +68,7 @@
 	batch.Orders = append(batch.Orders, m)
 }
 
-func (w *Writer) introduce(batch *jobspb.PollResponse, target dispatch.Target) uint32 {
+func (w *Writer) introduce(batch *jobspb.FollowResponse, target dispatch.Target) uint32 {
 	key := workerKey{target.Worker, target.Address}
 	number, known := w.workers[key]
 	if !known {
@@ -84,7 +84,7 @@
 	return number
 }
 
-func (w *Writer) payload(batch *jobspb.PollResponse, text string) uint32 {
+func (w *Writer) payload(batch *jobspb.FollowResponse, text string) uint32 {
 	index, known := w.payloads[text]
 	if !known {
 		index = uint32(len(batch.Payloads))
@@ -108,7 +108,7 @@
 }
 
 // Read returns the orders of a batch, in their order.
-func (r *Reader) Read(batch *jobspb.PollResponse) []Order {
+func (r *Reader) Read(batch *jobspb.FollowResponse) []Order {
 	if r.workers == nil {
 		r.workers = make(map[uint32]workerKey)
 	}
@@ -124,7 +124,7 @@
 	return orders
 }
 
-func (r *Reader) action(batch *jobspb.PollResponse, m *jobspb.Order) (dispatch.Action, error) {
+func (r *Reader) action(batch *jobspb.FollowResponse, m *jobspb.Order) (dispatch.Action, error) {
 	key, known := r.workers[m.GetWorker()]
 	if !known || key.id == "" || key.address == "" {
 		return nil, errors.Annotatef(ErrMalformedOrder, "worker %d", m.GetWorker())
--- a/internal/protocol/relaybatch/relaybatch_test.go
+++ b/internal/protocol/relaybatch/relaybatch_test.go
@@ -31,7 +31,7 @@
 	var writer Writer
 	var reader Reader
 	for batches := range 2 {
-		response := &jobspb.PollResponse{Epoch: 7}
+		response := &jobspb.FollowResponse{Epoch: 7}
 		writer.Begin()
 		for i, order := range orders {
 			writer.Add(response, uint64(i), order, 5)
@@ -42,7 +42,7 @@
 		assert.Equal(t, len(response.GetPayloads()), 2)
 		encoded, err := proto.Marshal(response)
 		assert.NilError(t, err)
-		var decoded jobspb.PollResponse
+		var decoded jobspb.FollowResponse
 		assert.NilError(t, proto.Unmarshal(encoded, &decoded))
 		for i, o := range reader.Read(&decoded) {
 			assert.NilError(t, o.Err)
@@ -73,7 +73,7 @@
 func FuzzRead(f *testing.F) {
 	var writer Writer
 	writer.Begin()
-	response := &jobspb.PollResponse{Epoch: 1}
+	response := &jobspb.FollowResponse{Epoch: 1}
 	target := dispatch.Target{Worker: "w", Address: "a", Epoch: 1}
 	writer.Add(response, 1, dispatch.Start{Target: target, Payload: "p"}, 0)
 	writer.Add(response, 2, dispatch.Hold{Target: target}, 0)
@@ -84,7 +84,7 @@
 	f.Add(seed)
 	f.Add([]byte{0x22, 2, 0x10, 9})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var message jobspb.PollResponse
+		var message jobspb.FollowResponse
 		if proto.Unmarshal(data, &message) != nil {
 			return
 		}
--- a/internal/transport/relay/agent.go
+++ b/internal/transport/relay/agent.go
@@ -19,12 +19,13 @@
 const (
 	// followInterval is how often an agent looks whether the leader has changed.
 	followInterval = 100 * time.Millisecond
-	// pollGrace is added to pollWait for the response.
-	pollGrace = time.Second
 	// retryDelay is the pause after a call to the leader that failed.
 	retryDelay = 100 * time.Millisecond
-	// reportTimeout bounds one report.
-	reportTimeout = time.Second
+	// maxMessageGap is the longest time between two messages of the leader. A longer one shows that the connection is
+	// dead or that this process was paused: the orders that have arrived meanwhile are old.
+	maxMessageGap = 2500 * time.Millisecond
+	// leaveTimeout bounds the call that tells the leader that this entry is no relay any more.
+	leaveTimeout = time.Second
 )
 
 // AgentOptions describe an entry as a relay.
@@ -86,30 +87,51 @@
 	leaderCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go a.watchLeader(leaderCtx, address, cancel)
-	var c *carrier
-	var last time.Time
+	followed := false
 	for leaderCtx.Err() == nil {
-		last = time.Now()
-		response, err := a.poll(leaderCtx, client)
-		if err != nil || !response.GetLeading() {
-			sleep(leaderCtx, retryDelay)
-			continue
+		if a.follow(leaderCtx, client) {
+			followed = true
 		}
-		if c == nil || c.session != response.GetSession() {
-			if c != nil {
-				c.stop()
-			}
-			c = newCarrier(leaderCtx, a.options, client, response)
+		sleep(leaderCtx, retryDelay)
+	}
+	if followed {
+		a.leave(client)
+	}
+}
+
+// follow carries the orders of one session and reports whether there was one.
+func (a *Agent) follow(ctx context.Context, client jobspbconnect.RelayServiceClient) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := time.AfterFunc(maxMessageGap, cancel)
+	defer watchdog.Stop()
+	stream, err := client.Follow(ctx, &jobspb.FollowRequest{
+		Entry: string(a.options.Entry), Incarnation: uint64(a.options.Incarnation),
+		DataCentre: string(a.options.DataCentre), MaxWorkers: uint32(a.options.MaxWorkers),
+	})
+	if err != nil {
+		return false
+	}
+	defer func() { _ = stream.Close() }()
+	var c *carrier
+	for last := time.Now(); stream.Receive(); {
+		now := time.Now()
+		if model.Elapsed(last, now) > maxMessageGap {
+			break
 		}
-		if len(response.GetOrders()) > 0 {
-			// A poll that took much longer than the leader lets it wait shows that this process was paused meanwhile.
-			c.accept(response, model.Elapsed(last, time.Now()) > pollWait+pollGrace)
+		last = now
+		watchdog.Reset(maxMessageGap)
+		if c == nil {
+			c = newCarrier(ctx, cancel, a.options, client, stream.Msg())
 		}
+		c.accept(stream.Msg())
 	}
-	if c != nil {
-		c.stop()
-		a.leave(client)
+	if c == nil {
+		return false
 	}
+	cancel()
+	c.wait()
+	return true
 }
 
 // watchLeader calls changed when another entry leads or this entry drains. While no leader is known, the former one may
@@ -131,27 +153,15 @@
 	}
 }
 
-func (a *Agent) request() *jobspb.PollRequest {
-	return &jobspb.PollRequest{
-		Entry: string(a.options.Entry), Incarnation: uint64(a.options.Incarnation),
-		DataCentre: string(a.options.DataCentre), MaxWorkers: uint32(a.options.MaxWorkers),
-	}
-}
-
-func (a *Agent) poll(ctx context.Context, client jobspbconnect.RelayServiceClient) (*jobspb.PollResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollGrace)
-	defer cancel()
-	return client.Poll(ctx, a.request())
-}
-
 // leave tells the former leader that this entry carries no more orders. If the call fails, the leader notices that
-// there are no more polls.
+// there are no more reports.
 func (a *Agent) leave(client jobspbconnect.RelayServiceClient) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	request := a.request()
-	request.Leaving = true
-	if _, err := client.Poll(ctx, request); err != nil {
+	_, err := client.Leave(ctx, &jobspb.LeaveRequest{
+		Entry: string(a.options.Entry), Incarnation: uint64(a.options.Incarnation),
+	})
+	if err != nil {
 		event.Log(a.options.Logger, notice.RelayStopped, notice.Attr{Key: "error", Value: err.Error()})
 		return
 	}
--- a/internal/transport/relay/bench_test.go
+++ b/internal/transport/relay/bench_test.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// Bounds for each started task at any size of the fleet: calls between leader and relays, bytes of their messages,
-	// and calls to the worker, of which one is the start and the others are holds.
-	maxRequestsPerStart    = 1.0
+	// Bounds for each started task at any size of the fleet: messages to relays, bytes on both ways between leader and
+	// relays, and calls to the worker, of which one is the start and the others are holds.
+	maxMessagesPerStart    = 1.0
 	maxBytesPerStart       = 600.0
 	maxWorkerCallsPerStart = 6.0
 )
@@ -34,7 +34,7 @@
 				l.submit(b, servingJob(n, servingTasks))
 			}
 			time.Sleep(relaySettle)
-			requests, bytes, calls, starts := l.requests.Load(), l.bytes.Load(), f.calls.Load(), f.starts.Load()
+			messages, bytes, calls, starts := l.messages.Load(), l.bytes.Load(), f.calls.Load(), f.starts.Load()
 			interval := time.Duration(float64(time.Second) * tasks / (2.3 * float64(workers)))
 			n := 0
 			for b.Loop() {
@@ -53,7 +53,7 @@
 					assert.Check(b, ratio <= bound, "%s: %.2f, bound %.2f", name, ratio, bound)
 				}
 			}
-			report("requests/start", l.requests.Load()-requests, maxRequestsPerStart)
+			report("messages/start", l.messages.Load()-messages, maxMessagesPerStart)
 			report("bytes/start", l.bytes.Load()-bytes, maxBytesPerStart)
 			report("worker-calls/start", f.calls.Load()-calls, maxWorkerCallsPerStart)
 			assert.Equal(b, f.doubled.Load(), int64(0))
--- a/internal/transport/relay/carrier.go
+++ b/internal/transport/relay/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/coordination/dispatch"
@@ -20,6 +21,10 @@
 const (
 	// maxResultsPerReport bounds one report.
 	maxResultsPerReport = 500
+	// heartbeatInterval is the time after which an empty report is sent while orders are in progress, and
+	// idleHeartbeatInterval that while there are none.
+	heartbeatInterval     = 200 * time.Millisecond
+	idleHeartbeatInterval = 2 * time.Second
 )
 
 // carrier carries out the orders of one session.
@@ -28,45 +33,55 @@
 	client  jobspbconnect.RelayServiceClient
 	session uint64
 	ctx     context.Context
-	cancel  context.CancelFunc
-	orders  sync.WaitGroup
-	reader  relaybatch.Reader
+	// cancel ends the session.
+	cancel context.CancelFunc
+	orders sync.WaitGroup
+	reader relaybatch.Reader
 
 	mu      sync.Mutex
 	results []*jobspb.Result
 	workers map[model.WorkerID]*reporter
+	// inProgress is the number of orders that are being carried out.
+	inProgress atomic.Int64
 	// wake gets an element when a result is added.
 	wake chan struct{}
 }
 
 func newCarrier(
-	ctx context.Context, o AgentOptions, client jobspbconnect.RelayServiceClient, first *jobspb.PollResponse,
+	ctx context.Context, cancel context.CancelFunc, o AgentOptions, client jobspbconnect.RelayServiceClient,
+	first *jobspb.FollowResponse,
 ) *carrier {
 	event.Log(o.Logger, notice.RelayFollowing, notice.Attr{Key: "epoch", Value: first.GetEpoch()},
 		notice.Attr{Key: "session", Value: first.GetSession()})
 	c := &carrier{
-		options: o, client: client, session: first.GetSession(),
+		options: o, client: client, session: first.GetSession(), ctx: ctx, cancel: cancel,
 		workers: make(map[model.WorkerID]*reporter), wake: make(chan struct{}, 1),
 	}
-	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.orders.Go(c.report)
 	return c
 }
 
-func (c *carrier) stop() {
-	c.cancel()
-	c.orders.Wait()
-}
+// wait waits until the orders in progress are given up, after the session has ended.
+func (c *carrier) wait() { c.orders.Wait() }
 
-// accept starts to carry out orders. Orders that may have grown old on their way are returned without being sent.
-func (c *carrier) accept(batch *jobspb.PollResponse, old bool) {
+// accept starts to carry out the orders of a batch.
+func (c *carrier) accept(batch *jobspb.FollowResponse) {
+	c.mu.Lock()
+	for _, id := range batch.GetIncomplete() {
+		c.reporterOf(model.WorkerID(id)).encoder.Reset()
+	}
+	c.mu.Unlock()
 	arrived := time.Now()
 	for _, o := range c.reader.Read(batch) {
-		if o.Err != nil || old {
+		if o.Err != nil {
 			c.addResult(relaybatch.ResultToProto(o.ID, refused(o.Err)))
 			continue
 		}
-		c.orders.Go(func() { c.carry(o, arrived) })
+		c.inProgress.Add(1)
+		c.orders.Go(func() {
+			defer c.inProgress.Add(-1)
+			c.carry(o, arrived)
+		})
 	}
 }
 
@@ -129,55 +144,49 @@
 	}
 }
 
-// report sends results to the leader until the session ends. A report that failed is sent again: the leader ignores the
-// results that it has.
+// report sends results to the leader until the session ends. If that fails, it ends the session: the leader then counts
+// the orders in progress as having no result.
 func (c *carrier) report() {
-	var unsent []*jobspb.Result
+	defer c.cancel()
+	stream, err := c.client.Report(c.ctx)
+	if err != nil {
+		return
+	}
+	defer func() { _, _ = stream.CloseAndReceive() }()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	heartbeat := true
 	for c.ctx.Err() == nil {
-		if unsent == nil {
-			unsent = c.takeResults()
-		}
-		if unsent == nil {
-			select {
-			case <-c.wake:
-			case <-c.ctx.Done():
+		if results := c.takeResults(); heartbeat || len(results) > 0 {
+			heartbeat = false
+			report := &jobspb.ReportRequest{Entry: string(c.options.Entry), Session: c.session, Results: results}
+			if stream.Send(report) != nil {
+				return
 			}
-			continue
+			sleep(c.ctx, batchInterval)
+			timer.Reset(c.heartbeatInterval())
 		}
-		if !c.sendReport(unsent) {
-			sleep(c.ctx, retryDelay)
-			continue
+		select {
+		case <-c.wake:
+		case <-timer.C:
+			heartbeat = true
+		case <-c.ctx.Done():
 		}
-		unsent = nil
-		sleep(c.ctx, batchInterval)
 	}
 }
 
+func (c *carrier) heartbeatInterval() time.Duration {
+	if c.inProgress.Load() > 0 {
+		return heartbeatInterval
+	}
+	return idleHeartbeatInterval
+}
+
 func (c *carrier) takeResults() []*jobspb.Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := min(len(c.results), maxResultsPerReport)
-	if n == 0 {
-		return nil
-	}
 	taken := c.results[:n:n]
 	c.results = c.results[n:]
 	return taken
 }
-
-func (c *carrier) sendReport(results []*jobspb.Result) bool {
-	ctx, cancel := context.WithTimeout(c.ctx, reportTimeout)
-	defer cancel()
-	response, err := c.client.Report(ctx, &jobspb.ReportRequest{
-		Entry: string(c.options.Entry), Session: c.session, Results: results,
-	})
-	if err != nil {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, id := range response.GetIncomplete() {
-		c.reporterOf(model.WorkerID(id)).encoder.Reset()
-	}
-	return true
-}
--- a/internal/transport/relay/fleet_test.go
+++ b/internal/transport/relay/fleet_test.go
@@ -286,8 +286,8 @@
 	hub    *Hub
 	store  *memoryStore
 	server *httptest.Server
-	// bytes counts what relays send and receive, requests their calls.
-	bytes, requests atomic.Int64
+	// bytes counts what relays send and receive, messages the batches that they receive.
+	bytes, messages atomic.Int64
 }
 
 func startLeader(t testing.TB, f *fleet, maxDirect int) *leaderUnderTest {
@@ -307,9 +307,8 @@
 	path, handler := l.hub.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l.requests.Add(1)
-		l.bytes.Add(r.ContentLength)
-		handler.ServeHTTP(&countingWriter{w, &l.bytes}, r)
+		r.Body = &countingBody{r.Body, l}
+		handler.ServeHTTP(&countingWriter{w, l}, r)
 	}))
 	l.server = httptest.NewServer(mux)
 	t.Cleanup(func() {
@@ -322,14 +321,32 @@
 
 type countingWriter struct {
 	http.ResponseWriter
-	bytes *atomic.Int64
+	leader *leaderUnderTest
 }
 
 func (w *countingWriter) Write(p []byte) (int, error) {
-	w.bytes.Add(int64(len(p)))
+	w.leader.bytes.Add(int64(len(p)))
 	return w.ResponseWriter.Write(p)
 }
 
+func (w *countingWriter) Flush() {
+	w.leader.messages.Add(1)
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *countingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+type countingBody struct {
+	io.ReadCloser
+	leader *leaderUnderTest
+}
+
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.leader.bytes.Add(int64(n))
+	return n, err
+}
+
 // followerView is the control state of an entry that follows a leader.
 type followerView struct{ address atomic.Pointer[string] }
 
--- a/internal/transport/relay/hub.go
+++ b/internal/transport/relay/hub.go
@@ -1,6 +1,6 @@
 // Package relay lets other entries carry the leader's orders to workers. A Hub at the leader queues orders for relays,
-// the entries that poll it, and turns their reports into events of the scheduler core. An Agent at each other entry
-// polls the leader, carries orders out and reports the results.
+// the entries that follow it, and turns their reports into events of the scheduler core. An Agent at each other entry
+// follows the leader, carries orders out and reports the results.
 //
 // Guarantees: each order given to a Hub leads to exactly one event, at the latest when its time is up; an order that was
 // never handed to a relay is reported as not run. A relay that was paused sends no order that has grown old, and
@@ -22,12 +22,16 @@
 )
 
 const (
-	// pollWait is how long a poll waits for orders.
-	pollWait = 5 * time.Second
-	// maxPollGap is the time after a response within which a relay must poll again.
-	maxPollGap = 700 * time.Millisecond
-	// maxOrdersPerPoll bounds one response.
-	maxOrdersPerPoll = 500
+	// keepAliveInterval is the time after which an empty message is sent to a relay.
+	keepAliveInterval = time.Second
+	// maxSilence is the time for which a relay with orders in progress may send no report, and maxIdleSilence that for
+	// one without.
+	maxSilence     = 700 * time.Millisecond
+	maxIdleSilence = 6 * time.Second
+	// writeTimeout bounds the sending of one batch.
+	writeTimeout = 3 * time.Second
+	// maxOrdersPerBatch bounds one batch.
+	maxOrdersPerBatch = 500
 	// resultGrace is added to the time that an order takes at the relay, for both ways between leader and relay.
 	resultGrace = 300 * time.Millisecond
 	// sweepInterval is the period of the search for overdue orders and silent relays.
@@ -41,9 +45,9 @@
 }
 
 const (
-	// batchInterval is the minimum time between two batches of orders or results on one way between leader and relay.
-	// Each batch costs some hundred bytes and 0.1 ms of CPU time, however small it is.
-	batchInterval = 20 * time.Millisecond
+	// batchInterval is the minimum time between two batches of orders or results on one way between leader and relay,
+	// since each batch has a cost, however small it is.
+	batchInterval = 10 * time.Millisecond
 )
 
 // Hub is the leader's side. It is safe for concurrent use.
@@ -125,8 +129,8 @@
 	}
 }
 
-// sessionFor returns the session of a polling entry, and the events that its creation causes.
-func (h *Hub) sessionFor(view *scheduler.View, r *jobspb.PollRequest) (*session, []scheduler.Event) {
+// sessionFor returns a new session for an entry, and the events that its creation causes.
+func (h *Hub) sessionFor(view *scheduler.View, r *jobspb.FollowRequest) (*session, []scheduler.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.epoch != view.Epoch {
@@ -137,16 +141,11 @@
 	}
 	entry, incarnation := model.EntryID(r.GetEntry()), model.Incarnation(r.GetIncarnation())
 	var events []scheduler.Event
-	s := h.sessions[entry]
-	if s != nil && s.incarnation != incarnation {
-		events = h.removeSession(s)
-		s = nil
-	}
-	if s != nil {
-		return s, nil
+	if former := h.sessions[entry]; former != nil {
+		events = h.removeSession(former)
 	}
 	h.lastID++
-	s = newSession(h.lastID, entry, incarnation, view.Epoch)
+	s := newSession(h.lastID, entry, incarnation, view.Epoch)
 	h.sessions[entry] = s
 	if !h.sweeping {
 		h.sweeping = true
--- a/internal/transport/relay/session.go
+++ b/internal/transport/relay/session.go
@@ -23,20 +23,22 @@
 	unfinished map[uint64]*order
 	decoders   map[model.WorkerID]*inventory.Decoder
 	writer     relaybatch.Writer
+	// incomplete are the workers whose next inventory must be complete.
+	incomplete []string
 	// wake gets an element when an order is queued or the session ends.
 	wake   chan struct{}
 	closed bool
-	// polls counts the polls; only the newest one gets orders. polling is true while it waits.
-	polls   uint64
-	polling bool
-	// respondedAt is when the last poll was answered.
-	respondedAt time.Time
+	// inProgress counts the unfinished orders that were handed to the relay, since activeSince.
+	inProgress  int
+	activeSince time.Time
+	// reportedAt is when the last report arrived.
+	reportedAt time.Time
 }
 
 func newSession(id uint64, entry model.EntryID, incarnation model.Incarnation, epoch model.Epoch) *session {
 	return &session{
 		id: id, entry: entry, incarnation: incarnation, epoch: epoch, unfinished: make(map[uint64]*order),
-		decoders: make(map[model.WorkerID]*inventory.Decoder), wake: make(chan struct{}, 1), respondedAt: time.Now(),
+		decoders: make(map[model.WorkerID]*inventory.Decoder), wake: make(chan struct{}, 1), reportedAt: time.Now(),
 	}
 }
 
@@ -58,25 +60,30 @@
 	s.signal()
 }
 
-// isSilent reports whether the relay has not polled again within maxPollGap after a response.
+// isSilent reports whether the relay has sent no report for too long.
 func (s *session) isSilent(now time.Time) bool {
-	return !s.polling && now.Sub(s.respondedAt) > maxPollGap
+	if s.inProgress == 0 {
+		return now.Sub(s.reportedAt) > maxIdleSilence
+	}
+	return now.Sub(s.reportedAt) > maxSilence && now.Sub(s.activeSince) > maxSilence
 }
 
-// take hands the next orders to the poll with the given number: none if a newer poll waits.
-func (s *session) take(poll uint64) *jobspb.PollResponse {
-	batch := &jobspb.PollResponse{Leading: !s.closed, Session: s.id, Epoch: uint64(s.epoch)}
-	if poll != s.polls || s.closed {
-		return batch
-	}
+// take hands the next orders to the relay.
+func (s *session) take(now time.Time) *jobspb.FollowResponse {
+	batch := &jobspb.FollowResponse{Session: s.id, Epoch: uint64(s.epoch), Incomplete: s.incomplete}
+	s.incomplete = nil
 	s.writer.Begin()
-	for len(s.queue) > 0 && len(batch.GetOrders()) < maxOrdersPerPoll {
+	for len(s.queue) > 0 && len(batch.GetOrders()) < maxOrdersPerBatch {
 		o := s.queue[0]
 		s.queue = s.queue[1:]
 		if s.unfinished[o.id] == nil {
 			continue
 		}
+		if s.inProgress == 0 {
+			s.activeSince = now
+		}
 		o.handed = true
+		s.inProgress++
 		s.writer.Add(batch, o.id, o.action, s.decoderOf(o.target.Worker).Number())
 	}
 	if len(s.queue) == 0 {
@@ -94,23 +101,32 @@
 	return d
 }
 
-// finish returns the event for a result. It returns nil if the order has one already. incomplete is set if the
-// inventory refers to one that is missing here.
-func (s *session) finish(result *jobspb.Result) (ev scheduler.Event, incomplete bool) {
+// remove removes an order that has got its result.
+func (s *session) remove(o *order) {
+	delete(s.unfinished, o.id)
+	if o.handed {
+		s.inProgress--
+	}
+}
+
+// finish returns the event for a result. It returns nil if the order has one already.
+func (s *session) finish(result *jobspb.Result) scheduler.Event {
 	o := s.unfinished[result.GetId()]
 	if o == nil {
-		return nil, false
+		return nil
 	}
-	delete(s.unfinished, result.GetId())
+	s.remove(o)
 	response := relaybatch.ResultFromProto(result)
 	if result.GetInventory() == nil || response.Err != nil {
-		return resultEvent(o, response, job.Inventory{}), false
+		return resultEvent(o, response, job.Inventory{})
 	}
 	inv, err := s.decoderOf(o.target.Worker).Decode(result.GetInventory(), response.Clock)
 	if err != nil {
-		return resultEvent(o, errNoResult, job.Inventory{}), true
+		s.incomplete = append(s.incomplete, string(o.target.Worker))
+		s.signal()
+		return resultEvent(o, errNoResult, job.Inventory{})
 	}
-	return resultEvent(o, response, inv), false
+	return resultEvent(o, response, inv)
 }
 
 // failOverdue returns the events for orders whose time is up.
@@ -132,7 +148,7 @@
 	slices.SortFunc(failed, func(a, b *order) int { return int(a.id) - int(b.id) })
 	events := make([]scheduler.Event, 0, len(failed))
 	for _, o := range failed {
-		delete(s.unfinished, o.id)
+		s.remove(o)
 		response := errNoResult
 		if !o.handed {
 			response = errNotHanded
