--- a/internal/coordination/dispatch/pack_test.go
+++ b/internal/coordination/dispatch/pack_test.go
@@ -50,4 +50,3 @@
 	}
 	assert.Assert(t, running > baseline, "%d large tasks with the small ones spread evenly", baseline)
 }
-
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -89,7 +89,7 @@
 	if w.inheritedEntry == nil || now.Before(d.recovery.leasesExpiredAt) {
 		return
 	}
-	if w.restartedAfter(d.recovery.beganAt.Add(-maxOrderDelay)) &&
+	if w.inheritedEntry.Boot != 0 && w.Boot > w.inheritedEntry.Boot &&
 		now.Before(d.recovery.predecessorsStoppedAt.Add(maxOrderDelay)) {
 		return
 	}
@@ -100,9 +100,6 @@
 	d.markDead(now, w, "lease-ended")
 }
 
-// restartedAfter reports whether the present boot of a worker began after a time, by the wall clock.
-func (w *worker) restartedAfter(at time.Time) bool { return w.Boot != 0 && time.UnixMilli(int64(w.Boot)).After(at) }
-
 // mayPlace reports whether tasks of a job may be started: either all open workers are accounted for, or the job is so
 // new that no earlier leader can have started any of it.
 func (d *Dispatcher) mayPlace(j *jobState) bool {
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -192,7 +192,7 @@
 	if w.inheritedEntry != nil {
 		return *w.inheritedEntry
 	}
-	r := job.RegisteredWorker{ID: w.ID, Address: w.Address, NoMoreStarts: w.closedToStarts()}
+	r := job.RegisteredWorker{ID: w.ID, Address: w.Address, Boot: w.Boot, NoMoreStarts: w.closedToStarts()}
 	if r.NoMoreStarts {
 		for _, run := range w.orderedRuns {
 			r.Runs = append(r.Runs, run.Task)
--- a/internal/protocol/jobrecord/jobrecord.go
+++ b/internal/protocol/jobrecord/jobrecord.go
@@ -45,6 +45,8 @@
 	// the tasks that may still run there.
 	Workers map[string]string   `json:"workers"`
 	Closed  map[string][]string `json:"closed,omitempty"`
+	// Boots maps the id of each worker to its newest boot.
+	Boots map[string]int64 `json:"boots,omitempty"`
 }
 
 // interferencePairJSON is the stored form of job.InterferencePair. Its numbers are rounded, since they are estimates.
@@ -64,9 +66,12 @@
 	case *job.CommitRecord:
 		stored = commitJSON{uint64(v.Incarnation), v.Commit, v.Resigned}
 	case *job.Registry:
-		r := registryJSON{Workers: make(map[string]string, len(v.Workers))}
+		r := registryJSON{Workers: make(map[string]string, len(v.Workers)), Boots: make(map[string]int64, len(v.Workers))}
 		for _, w := range v.Workers {
 			r.Workers[string(w.ID)] = w.Address
+			if w.Boot != 0 {
+				r.Boots[string(w.ID)] = int64(w.Boot)
+			}
 			if w.NoMoreStarts {
 				r.addClosed(w)
 			}
@@ -174,7 +179,7 @@
 	}
 	r := &job.Registry{}
 	for _, id := range slices.Sorted(maps.Keys(v.Workers)) {
-		w := job.RegisteredWorker{ID: model.WorkerID(id), Address: v.Workers[id]}
+		w := job.RegisteredWorker{ID: model.WorkerID(id), Address: v.Workers[id], Boot: job.BootID(v.Boots[id])}
 		names, closed := v.Closed[id]
 		w.NoMoreStarts = closed
 		for _, name := range names {
--- a/internal/protocol/jobrecord/jobrecord_test.go
+++ b/internal/protocol/jobrecord/jobrecord_test.go
@@ -82,7 +82,7 @@
 		job.KeyLeader: &job.Leadership{Entry: "e", Incarnation: 1 << 50, Address: "127.0.0.1:1"},
 		job.KeyCommit: &job.CommitRecord{Incarnation: 3, Commit: 9, Resigned: true},
 		job.KeyRegistry: &job.Registry{Workers: []job.RegisteredWorker{
-			{ID: "w", Address: "127.0.0.1:2"},
+			{ID: "w", Address: "127.0.0.1:2", Boot: 1_800_000_000_000},
 			{
 				ID: "x", Address: "127.0.0.1:3", NoMoreStarts: true,
 				Runs: []job.Task{{Job: "0123456789abcdef", Step: 1, Index: 4}},
--- a/internal/state/job/record.go
+++ b/internal/state/job/record.go
@@ -79,6 +79,8 @@
 type RegisteredWorker struct {
 	ID      model.WorkerID
 	Address string
+	// Boot is the newest boot that was known when the registry was written; 0 if none was.
+	Boot BootID
 	// NoMoreStarts means that no more starts are sent to the worker; Runs then lists the tasks that may still run on it.
 	NoMoreStarts bool
 	Runs         []Task
