Start no best-effort tasks where they would be halted at once

A serving task far above its target can't be harmed further in the estimate, so that its worker looked cheap for best-effort tasks; they ran at full pace until they were halted. Such workers are now the last choice.

--- a/internal/coordination/dispatch/estimate.go
+++ b/internal/coordination/dispatch/estimate.go
@@ -23,6 +23,9 @@
 	// unusedCores are the cores that its tasks leave unused.
 	unusedCores float64
 	neighbours  []neighbour
+	// halting is set while a serving task has been above its target for haltAfter: best-effort tasks that start on the
+	// worker would be halted at once.
+	halting bool
 	// estimates holds the estimates that were made from this forecast, by kind of step.
 	estimates []placementEstimate
 }
@@ -74,6 +77,7 @@
 			continue
 		}
 		n := neighbour{image: r.task.step.Image, margin: r.marginAt(r.task.step.load.sustained(now))}
+		forecast.halting = forecast.halting || !r.aboveTargetSince.IsZero() && now.Sub(r.aboveTargetSince) > haltAfter
 		for _, s := range bestEffort {
 			n.margin -= d.cautiousSlope(n.image, s.image) * s.share
 		}
--- a/internal/coordination/dispatch/rate.go
+++ b/internal/coordination/dispatch/rate.go
@@ -17,6 +17,8 @@
 	// unhealthyPenalty makes an unhealthy worker the last choice, and likewise the worker on which the task itself
 	// failed last.
 	unhealthyPenalty = 1000
+	// haltingPenalty makes a worker that halts its best-effort tasks the last choice for further ones.
+	haltingPenalty = 500
 	// remoteDataPenalty makes a worker in another rack than the task's data worse than one in the same rack.
 	remoteDataPenalty = 100
 )
@@ -47,6 +49,9 @@
 func (p *pass) bestEffortScore(t *task, w *worker) (score float64, accepted bool) {
 	e := p.d.estimateFor(p.now, w, t.step)
 	gain := t.owner.workValue*e.speed - e.cost
+	if w.forecast.halting {
+		return gain - e.loss - e.opportunityCost - haltingPenalty, false
+	}
 	return gain - e.loss - e.opportunityCost, gain >= minAcceptedGain*t.owner.workValue && e.loss <= maxAcceptedLoss
 }
 
