Remember the highest value that no worker accepts

Kinds of rejected best-effort work included the value of the job's work, which differs from job to job, so that each job of a backlog was scored against all workers. If no worker accepts work of a value, none accepts work of a lower one.

--- a/internal/coordination/dispatch/bench_test.go
+++ b/internal/coordination/dispatch/bench_test.go
@@ -91,7 +91,7 @@
 	for _, j := range d.openJobs {
 		for _, t := range j.occurrences[0].steps[0].tasks {
 			if t.step.BestEffort && j.hasRuns() && len(t.runs) == 0 &&
-				p.rejectedKinds[bestEffortKind{"s", t.step.Image, j.workValue}] {
+				j.workValue <= p.rejectedKinds[bestEffortKind{"s", t.step.Image}] {
 				again.chooseWorker(t, d.routes[j.Queue])
 			}
 		}
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -44,19 +44,18 @@
 	tooLarge []unplacedSize
 	// unplacedSteps counts the steps with a task for which no worker was found.
 	unplacedSteps int
-	// rejectedKinds are the kinds of best-effort work that no worker accepted in this pass. Further tasks of these
-	// kinds wait for the next pass.
-	rejectedKinds map[bestEffortKind]bool
+	// rejectedKinds holds the kinds of best-effort work that no worker accepted in this pass, with the highest value of
+	// such work. Further tasks of at most that value wait for the next pass.
+	rejectedKinds map[bestEffortKind]float64
 	// reserved are workers kept free for urgent tasks.
 	reserved map[*worker]bool
 }
 
-// bestEffortKind holds what decides whether a worker accepts best-effort work. Sizes are left out because they differ
-// little within an image.
+// bestEffortKind holds what decides, beside its value, whether a worker accepts best-effort work. Sizes are left out
+// because they differ little within an image.
 type bestEffortKind struct {
-	service   model.ServiceName
-	image     string
-	workValue float64
+	service model.ServiceName
+	image   string
 }
 
 type unplacedSize struct {
@@ -68,7 +67,7 @@
 func (d *Dispatcher) newPass(now time.Time) *pass {
 	return &pass{
 		d: d, now: now, reserved: make(map[*worker]bool),
-		rejectedKinds: make(map[bestEffortKind]bool),
+		rejectedKinds: make(map[bestEffortKind]float64),
 	}
 }
 
--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -50,12 +50,12 @@
 }
 
 func (p *pass) kindOf(t *task, route job.Route) bestEffortKind {
-	return bestEffortKind{route.Service, t.step.Image, t.owner.workValue}
+	return bestEffortKind{route.Service, t.step.Image}
 }
 
 // isHopeless reports whether this pass has already shown that no worker takes a task.
 func (p *pass) isHopeless(t *task, route job.Route) bool {
-	return p.knownTooLarge(t.step, route) || p.canWait(t) && p.rejectedKinds[p.kindOf(t, route)]
+	return p.knownTooLarge(t.step, route) || p.canWait(t) && t.owner.workValue <= p.rejectedKinds[p.kindOf(t, route)]
 }
 
 // recordFailure remembers that the best candidate for a task is none, or does not accept it.
@@ -64,10 +64,16 @@
 		p.tooLarge = append(p.tooLarge, unplacedSize{route.Service, t.step.BestEffort, reservedSize(t.step)})
 	}
 	if !best.accepted && t.step.BestEffort {
-		p.rejectedKinds[p.kindOf(t, route)] = true
+		p.reject(t, route)
 	}
 }
 
+// reject remembers that no worker accepts work of the kind and value of a task.
+func (p *pass) reject(t *task, route job.Route) {
+	kind := p.kindOf(t, route)
+	p.rejectedKinds[kind] = max(p.rejectedKinds[kind], t.owner.workValue)
+}
+
 // chooseWorker returns the best worker for a task, or nil.
 func (p *pass) chooseWorker(t *task, route job.Route) *worker {
 	if p.isHopeless(t, route) {
@@ -139,7 +145,7 @@
 		best = (**r)[0]
 	}
 	if !best.accepted && t.step.BestEffort {
-		p.rejectedKinds[p.kindOf(t, route)] = true
+		p.reject(t, route)
 	}
 	if !best.accepted && p.canWait(t) {
 		return nil
