Open no streams to a leader that needs no relays

On small fleets every entry held two streams to the leader. The leader now refuses them while it can send all orders itself, and entries ask again after 2 s.

--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -77,7 +77,7 @@
 // avoidRelay reaches a worker in another way after its relay got no response. The relay may be cut off from the worker
 // while others reach it.
 func (d *Dispatcher) avoidRelay(now time.Time, w *worker) {
-	if w.relay == "" || !d.needsRelays() {
+	if w.relay == "" || !d.NeedsRelays() {
 		return
 	}
 	w.avoidedRelay, w.avoidRelayUntil = w.relay, now.Add(relayAvoidTime)
@@ -85,19 +85,19 @@
 	d.relays.changed = true
 }
 
-// needsRelays reports whether the fleet is larger than the leader can serve itself.
-func (d *Dispatcher) needsRelays() bool {
+// NeedsRelays reports whether the fleet is larger than the leader can serve itself.
+func (d *Dispatcher) NeedsRelays() bool {
 	return d.settings.MaxDirectWorkers > 0 && len(d.sortedWorkers) > d.settings.MaxDirectWorkers
 }
 
 // relaysSettled reports whether orders may be sent: a new leader of a large fleet first waits for relays.
 func (d *Dispatcher) relaysSettled(now time.Time) bool {
-	return !d.needsRelays() || !now.Before(d.relays.settledAt)
+	return !d.NeedsRelays() || !now.Before(d.relays.settledAt)
 }
 
 // assignRelays assigns workers without a relay, if something has changed. Workers keep their relay while it is there.
 func (d *Dispatcher) assignRelays(now time.Time) {
-	if !d.relays.changed || !d.needsRelays() || !d.relaysSettled(now) {
+	if !d.relays.changed || !d.NeedsRelays() || !d.relaysSettled(now) {
 		return
 	}
 	d.relays.changed = false
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -51,6 +51,8 @@
 	Leading bool
 	// Epoch is that of this entry's leadership; 0 unless Leading.
 	Epoch model.Epoch
+	// NeedsRelays is true while this entry leads a fleet in which other entries carry its orders.
+	NeedsRelays bool
 	// LeaderAddress is where the leader serves requests of other entries; empty while no leader is known.
 	LeaderAddress string
 	Draining      bool
@@ -149,10 +151,11 @@
 		LeaderAddress: c.leadership.address(), Draining: c.draining, StoreUnavailable: c.storeHealth.unavailable,
 	}
 	if v.Leading {
-		v.Epoch = c.leadership.epoch
+		v.Epoch, v.NeedsRelays = c.leadership.epoch, c.leadership.dispatcher.NeedsRelays()
 	}
 	if v.Configuration.Version != c.view.Configuration.Version || v.Configured != c.view.Configured ||
-		v.Leading != c.view.Leading || v.Epoch != c.view.Epoch || v.LeaderAddress != c.view.LeaderAddress || v.Draining != c.view.Draining ||
+		v.Leading != c.view.Leading || v.Epoch != c.view.Epoch ||
+		v.NeedsRelays != c.view.NeedsRelays || v.LeaderAddress != c.view.LeaderAddress || v.Draining != c.view.Draining ||
 		v.StoreUnavailable != c.view.StoreUnavailable {
 		c.view = &v
 	}
--- a/internal/transport/relay/agent.go
+++ b/internal/transport/relay/agent.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/juju/errors"
 
 	"github.com/jujubearch/jujubearch/internal/protocol/jobspb"
 	"github.com/jujubearch/jujubearch/internal/protocol/jobspb/jobspbconnect"
@@ -21,6 +22,8 @@
 	followInterval = 100 * time.Millisecond
 	// retryDelay is the pause after a call to the leader that failed.
 	retryDelay = 100 * time.Millisecond
+	// offerInterval is the pause between two offers to a leader that needs no relays.
+	offerInterval = 2 * time.Second
 	// maxMessageGap is the longest time between two messages of the leader. A longer one shows that the connection is
 	// dead or that this process was paused: the orders that have arrived meanwhile are old.
 	maxMessageGap = 2500 * time.Millisecond
@@ -89,18 +92,22 @@
 	go a.watchLeader(leaderCtx, address, cancel)
 	followed := false
 	for leaderCtx.Err() == nil {
-		if a.follow(leaderCtx, client) {
+		delay := retryDelay
+		switch err := a.follow(leaderCtx, client); {
+		case err == nil:
 			followed = true
+		case connect.CodeOf(err) == connect.CodeResourceExhausted:
+			delay = offerInterval
 		}
-		sleep(leaderCtx, retryDelay)
+		sleep(leaderCtx, delay)
 	}
 	if followed {
 		a.leave(client)
 	}
 }
 
-// follow carries the orders of one session and reports whether there was one.
-func (a *Agent) follow(ctx context.Context, client jobspbconnect.RelayServiceClient) bool {
+// follow carries the orders of one session. It returns an error if there was none.
+func (a *Agent) follow(ctx context.Context, client jobspbconnect.RelayServiceClient) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(maxMessageGap, cancel)
@@ -110,7 +117,7 @@
 		DataCentre: string(a.options.DataCentre), MaxWorkers: uint32(a.options.MaxWorkers),
 	})
 	if err != nil {
-		return false
+		return err
 	}
 	defer func() { _ = stream.Close() }()
 	var c *carrier
@@ -127,11 +134,11 @@
 		c.accept(stream.Msg())
 	}
 	if c == nil {
-		return false
+		return errors.Trace(stream.Err())
 	}
 	cancel()
 	c.wait()
-	return true
+	return nil
 }
 
 // watchLeader calls changed when another entry leads or this entry drains. While no leader is known, the former one may
--- a/internal/transport/relay/server.go
+++ b/internal/transport/relay/server.go
@@ -21,6 +21,8 @@
 const (
 	// ErrNotLeading means that the called entry does not lead.
 	ErrNotLeading = errors.ConstError("this entry does not lead")
+	// ErrNotNeeded means that the leader sends all orders itself.
+	ErrNotNeeded = errors.ConstError("the leader needs no relays")
 	// ErrUnknownSession means that the leader does not share a session with the relay any more.
 	ErrUnknownSession = errors.ConstError("the session has ended")
 )
@@ -62,6 +64,9 @@
 	if !view.Leading || view.Epoch == 0 {
 		return connect.NewError(connect.CodeUnavailable, ErrNotLeading)
 	}
+	if !view.NeedsRelays {
+		return connect.NewError(connect.CodeResourceExhausted, ErrNotNeeded)
+	}
 	s, events := h.sessionFor(view, r)
 	h.deliver(events...)
 	err := h.sendOrders(ctx, s, stream.Send)
