--- a/internal/transport/jobs/peer.go
+++ b/internal/transport/jobs/peer.go
@@ -14,6 +14,9 @@
 	"github.com/jujubearch/jujubearch/internal/state/verdict"
 )
 
+// minCompressBytes is the size from which responses between entries are compressed. Nearly all have some ten bytes.
+const minCompressBytes = 4 << 10
+
 // PeerServer serves the job RPCs that other entries send to the leader.
 type PeerServer struct{ actor *ControlActor }
 
@@ -21,7 +24,9 @@
 func NewPeerServer(actor *ControlActor) *PeerServer { return &PeerServer{actor: actor} }
 
 // Handler returns the path and the handler of the RPC service.
-func (s *PeerServer) Handler() (string, http.Handler) { return jobspbconnect.NewJobsServiceHandler(s) }
+func (s *PeerServer) Handler() (string, http.Handler) {
+	return jobspbconnect.NewJobsServiceHandler(s, connect.WithCompressMinBytes(minCompressBytes))
+}
 
 // Inspect implements jobspbconnect.JobsServiceHandler.
 func (s *PeerServer) Inspect(ctx context.Context, r *jobspb.InspectRequest) (*jobspb.InspectResponse, error) {
