Place quick work between the passes over a backlog

With a backlog a pass runs every 40 ms, and quick tasks waited for the next one at each step of their job. Short tasks that reserve CPU are now placed with every batch of events.

TestRefusedPermitIsAskedForAgain relied on the pass interval: its permits were exchanged 100 ms after the submission, before the first start. They are now exchanged right after the answer of the advice service, whenever the starts follow; the checks are the same.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -90,8 +90,10 @@
 	adviceInFlight int
 	// passNeeded is set when a task became ready or capacity became free.
 	passNeeded bool
-	// nextPass is the earliest time of the next placement pass.
+	// nextPass is the earliest time of the next placement pass over all work.
 	nextPass time.Time
+	// reserved are the workers that the last such pass kept free for urgent tasks.
+	reserved map[*worker]bool
 }
 
 // New returns a dispatcher for an epoch, without jobs or workers.
@@ -156,6 +158,8 @@
 	if d.passNeeded && !now.Before(d.nextPass) {
 		d.passNeeded = false
 		d.place(now)
+	} else if d.passNeeded {
+		d.placeShort(now)
 	}
 	d.commit(now)
 	d.assignRelays(now)
--- a/internal/coordination/dispatch/permit_test.go
+++ b/internal/coordination/dispatch/permit_test.go
@@ -70,11 +70,17 @@
 // Guards against a permit from before a worker's restart that fails the job or is tried again and again.
 func TestRefusedPermitIsAskedForAgain(t *testing.T) {
 	sim := simulationWithAdvice()
-	sim.submit(plainJob(testID, 4))
-	sim.advanceTime(100 * time.Millisecond)
-	for _, id := range []model.WorkerID{"w02", "w04"} {
-		sim.workers[id].requiredPermit = "newer-" + sim.workers[id].requiredPermit
+	answer := sim.advise
+	// The workers restart between the answer and the starts.
+	sim.advise = func(q RequestAdvice) (map[model.WorkerID]job.Permit, error) {
+		sim.advise = answer
+		granted, err := answer(q)
+		for _, id := range []model.WorkerID{"w02", "w04"} {
+			sim.workers[id].requiredPermit = "newer-" + sim.workers[id].requiredPermit
+		}
+		return granted, err
 	}
+	sim.submit(plainJob(testID, 4))
 	sim.advanceTime(5 * time.Second)
 	assert.Equal(t, sim.phase(testID), job.Completed)
 	assert.Equal(t, len(sim.adviceRequests), 2)
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -30,11 +30,31 @@
 	p.placeUrgent()
 	p.placeJobs(false)
 	p.placeJobs(true)
+	d.reserved = p.reserved
 	if p.unplacedSteps > 0 {
 		d.nextPass = now.Add(passInterval)
 	}
 }
 
+// placeShort starts short tasks that reserve CPU, without waiting for the next pass over all work: a backlog of
+// best-effort work must not delay them.
+func (d *Dispatcher) placeShort(now time.Time) {
+	p := d.newPass(now)
+	p.reserved = d.reserved
+	for _, j := range d.openJobs {
+		if j.waiting == 0 || j.LongRunning() || !d.mayPlace(j) {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.pendingDependencies == 0 && !s.BestEffort && !s.Gang {
+					p.placeStep(s, d.routes[j.Queue])
+				}
+			}
+		}
+	}
+}
+
 // pass is the state of one placement pass over all ready tasks.
 type pass struct {
 	d   *Dispatcher
--- a/internal/coordination/scheduler/guard_test.go
+++ b/internal/coordination/scheduler/guard_test.go
@@ -26,7 +26,8 @@
 	c.leadership.stage, c.leadership.epoch, c.leadership.lease = leading, 5, 7
 	c.leadership.dispatcher = dispatch.New(dispatch.Settings{MaxLease: 6 * time.Second}, 5)
 	actions := c.Step(now, Batch{
-		ConfigRead{Config: job.Configuration{Version: 1}, Revision: 1, Changed: true}, panicking{},
+		ConfigRead{Config: job.Configuration{Version: 1}, Revision: 1, Changed: true},
+		panicking{},
 		ConfigRead{Config: job.Configuration{Version: 2}, Revision: 2, Changed: true},
 	})
 	assert.Equal(t, uint64(c.Snapshot().Configuration.Version), uint64(2))
--- a/internal/protocol/relaybatch/relaybatch_test.go
+++ b/internal/protocol/relaybatch/relaybatch_test.go
@@ -55,7 +55,9 @@
 // Guards against a lost response that is taken for a refusal, after which the order would be sent again elsewhere.
 func TestResultsKeepTheirVerdict(t *testing.T) {
 	for _, r := range []job.OrderResponse{
-		{Clock: time.Second}, {Refusal: job.RefusedOldRun}, {Err: verdict.NotRunError("", nil), NoListener: true},
+		{Clock: time.Second},
+		{Refusal: job.RefusedOldRun},
+		{Err: verdict.NotRunError("", nil), NoListener: true},
 		{Err: verdict.MayHaveRunError("", nil)},
 	} {
 		got := ResultFromProto(ResultToProto(1, r))
--- a/internal/transport/upstream/tracked_conn.go
+++ b/internal/transport/upstream/tracked_conn.go
@@ -54,7 +54,7 @@
 		defer close(ended)
 		// Either error means that the connection is already gone, which the read below reports at once.
 		_ = half.CloseWrite()
-		_ = c.Conn.SetReadDeadline(time.Now().Add(maxAbandonTime))
+		_ = c.SetReadDeadline(time.Now().Add(maxAbandonTime))
 		_, _ = io.Copy(io.Discard, c.Conn)
 		_ = c.Conn.Close()
 	}()
