--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -30,6 +30,9 @@
 	// some, since workers renew their records. Longer pauses would not read less, but in larger pieces, which delay
 	// orders on a slow link.
 	workerReadInterval = 200 * time.Millisecond
+	// manyWorkerChanges is the number of changes in one read after which the next one follows without a pause: the store
+	// may return only some hundred at a time, and the list must not fall behind.
+	manyWorkerChanges = 200
 	// workerResyncInterval is the time between two reads of the whole list of workers. Changes in between are watched.
 	workerResyncInterval = 30 * time.Second
 )
@@ -368,32 +371,3 @@
 		Puts:   []job.Put{{Key: job.KeyLeader, Value: c.leaderRecord(), Lease: l.lease}},
 	}})
 }
-
-// stepDown ends the leadership of this entry and logs the reason.
-func (c *Core) stepDown(now time.Time, reason string) {
-	l := &c.leadership
-	c.notify(notice.LeaderDeposed, dispatch.Attr{Key: "epoch", Value: l.epoch},
-		dispatch.Attr{Key: "reason", Value: reason})
-	// Revoking the lease deletes the leader record, so that other entries need not wait until the lease expires.
-	c.emit(RevokeLease{Lease: l.lease})
-	c.resetLeadership()
-	// If another entry leads, its record stays and there is no campaign until that record is gone.
-	if l.leader == nil || l.leader.Incarnation == c.settings.Incarnation {
-		l.leader = nil
-		l.campaignAt = now.Add(leadershipRetryDelay)
-	}
-}
-
-// resetLeadership returns to the following stage. Callers that wait for a cancellation are told that its outcome is
-// unknown, and callers that wait for a drain that it is complete.
-func (c *Core) resetLeadership() {
-	l := &c.leadership
-	l.stage, l.dispatcher, l.term = following, nil, l.term+1
-	l.reclaiming, l.renewing, l.resigning, l.resignSent = false, false, false, false
-	l.workers, l.workersRevision, l.nextWorkerRead = nil, 0, time.Time{}
-	l.jobsRetry, l.workersRetry, l.stateRetry = readRetry{}, readRetry{}, readRetry{}
-	for id := range c.cancelWaiters {
-		c.replyCancel(id, CancelOutcome{NotLeader: true})
-	}
-	c.replyDrained()
-}
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -113,6 +113,10 @@
 	if now.After(l.resyncWorkersAt) {
 		l.workersRevision = 0
 	}
+	if len(ev.Workers)+len(ev.Removed) >= manyWorkerChanges && !ev.Complete {
+		c.watchWorkers()
+		return
+	}
 	l.nextWorkerRead = now.Add(workerReadInterval)
 }
 
@@ -142,3 +146,32 @@
 	}
 	l.dispatcher.Tick(now)
 }
+
+// stepDown ends the leadership of this entry and logs the reason.
+func (c *Core) stepDown(now time.Time, reason string) {
+	l := &c.leadership
+	c.notify(notice.LeaderDeposed, dispatch.Attr{Key: "epoch", Value: l.epoch},
+		dispatch.Attr{Key: "reason", Value: reason})
+	// Revoking the lease deletes the leader record, so that other entries need not wait until the lease expires.
+	c.emit(RevokeLease{Lease: l.lease})
+	c.resetLeadership()
+	// If another entry leads, its record stays and there is no campaign until that record is gone.
+	if l.leader == nil || l.leader.Incarnation == c.settings.Incarnation {
+		l.leader = nil
+		l.campaignAt = now.Add(leadershipRetryDelay)
+	}
+}
+
+// resetLeadership returns to the following stage. Callers that wait for a cancellation are told that its outcome is
+// unknown, and callers that wait for a drain that it is complete.
+func (c *Core) resetLeadership() {
+	l := &c.leadership
+	l.stage, l.dispatcher, l.term = following, nil, l.term+1
+	l.reclaiming, l.renewing, l.resigning, l.resignSent = false, false, false, false
+	l.workers, l.workersRevision, l.nextWorkerRead = nil, 0, time.Time{}
+	l.jobsRetry, l.workersRetry, l.stateRetry = readRetry{}, readRetry{}, readRetry{}
+	for id := range c.cancelWaiters {
+		c.replyCancel(id, CancelOutcome{NotLeader: true})
+	}
+	c.replyDrained()
+}
