--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,4 @@
 # have bounds.
 bench:
 	go test -run '^$$' -bench . -benchtime 200ms ./internal/transport/caller ./internal/coordination/...
+	go test -run '^$$' -bench Leader -benchtime 5s ./internal/transport/relay
