--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -154,9 +154,21 @@
 	})
 }
 
+func (s *simWorker) hasDueRun(now time.Time) bool {
+	for _, r := range s.runs {
+		if !r.finishAt.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // endDueRuns ends the runs of a worker that are finished or whose lease has expired.
 func (sim *simulation) endDueRuns(s *simWorker) {
 	leaseExpired := len(s.runs) > 0 && s.clock(sim.now) > s.leaseEnd
+	if !leaseExpired && !s.hasDueRun(sim.now) {
+		return
+	}
 	for _, run := range s.sortedRuns() {
 		r := s.runs[run]
 		if !leaseExpired && r.finishAt.After(sim.now) {
--- a/internal/coordination/dispatch/urgent_test.go
+++ b/internal/coordination/dispatch/urgent_test.go
@@ -88,7 +88,7 @@
 func submitBacklog(sim *simulation, tasks int) {
 	const tasksPerJob = 10
 	for n := range tasks / tasksPerJob {
-		sim.submit(plainJob(job.ID(fmt.Sprintf("s%06d", n)), tasksPerJob))
+		sim.accept(plainJob(job.ID(fmt.Sprintf("s%06d", n)), tasksPerJob))
 	}
 }
 
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -19,6 +19,7 @@
 	settings   Settings
 	leader     *Dispatcher
 	workers    map[model.WorkerID]*simWorker
+	sorted     []*simWorker
 	deliveries []delayedCall
 	store      simStore
 	routes     []job.Route
@@ -86,7 +87,7 @@
 		highestRun: make(map[job.Task]job.RunNumber), reportedPercent: 100,
 		outcome: func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, 500 * time.Millisecond },
 	}
-	sim.workers[id] = s
+	sim.workers[id], sim.sorted = s, nil
 	return s
 }
 
@@ -126,21 +127,31 @@
 	sim.leader.UpdateWorkers(sim.now, list)
 }
 
+// sortedWorkers returns the workers in the order of their ids. The list is kept while no worker comes or leaves.
 func (sim *simulation) sortedWorkers() []*simWorker {
+	if len(sim.sorted) == len(sim.workers) {
+		return sim.sorted
+	}
 	var list []*simWorker
 	for _, s := range sim.workers {
 		list = append(list, s)
 	}
 	slices.SortFunc(list, func(a, b *simWorker) int { return strings.Compare(string(a.id), string(b.id)) })
+	sim.sorted = list
 	return list
 }
 
 func (sim *simulation) submit(j job.Job) {
+	sim.accept(j)
+	sim.advance(sim.leader)
+}
+
+// accept stores a job and tells the leader, which decides with the next event.
+func (sim *simulation) accept(j job.Job) {
 	j.Queue, j.Accepted = "q", sim.now
 	sim.store.jobs = append(sim.store.jobs, j)
 	sim.jobsByID[j.ID] = &j
 	sim.leader.AddJob(sim.now, j, nil, sim.leader.AcceptedSinceTakeover(sim.now))
-	sim.advance(sim.leader)
 }
 
 // advanceTime runs the simulation for some time.
