Wait for requests given up during their first write

A request whose first write was still going on when its caller's deadline passed counted as never sent: the connection was closed at once and the slot freed, while the instance had the request.

--- a/internal/transport/upstream/tracked_conn.go
+++ b/internal/transport/upstream/tracked_conn.go
@@ -39,11 +39,11 @@
 // halfCloser is a connection whose sending direction can be closed alone.
 type halfCloser interface{ CloseWrite() error }
 
-// Close implements net.Conn. If it gives up an exchange whose request was written, it ends the stream to the upstream
+// Close implements net.Conn. If it gives up an exchange whose request may have been written, it ends the stream to the upstream
 // and closes the connection only when the upstream has ended it, which shows that the request has ended there.
 func (c *trackedConn) Close() error {
 	half, ok := c.Conn.(halfCloser)
-	if !ok || !c.inExchange.Load() || c.state.Load() != stateWritten {
+	if !ok || !c.inExchange.Load() || !c.mayBeWritten() {
 		return c.Conn.Close()
 	}
 	ended := make(chan struct{})
@@ -61,6 +61,13 @@
 	return nil
 }
 
+// mayBeWritten reports whether the upstream may have got bytes since the last reset. It may have got them before the
+// write that sent them returns.
+func (c *trackedConn) mayBeWritten() bool {
+	state := c.state.Load()
+	return state == stateWriting || state == stateWritten
+}
+
 // ended returns a channel that is closed once the upstream has ended an abandoned exchange, or nil if none was
 // abandoned.
 func (c *trackedConn) ended() <-chan struct{} {
