Write no request whose exchange was given up before its first write

Close decided by the state of the connection and closed it afterwards; a first write between the two reached the instance, while the slot was free. Close now seals the connection, which either proves that nothing was or will be written, or makes it wait for the instance. The test with a slow close fails without the change.

--- a/internal/transport/upstream/tracked_conn.go
+++ b/internal/transport/upstream/tracked_conn.go
@@ -43,7 +43,7 @@
 // and closes the connection only when the upstream has ended it, which shows that the request has ended there.
 func (c *trackedConn) Close() error {
 	half, ok := c.Conn.(halfCloser)
-	if !ok || !c.inExchange.Load() || !c.mayBeWritten() {
+	if !ok || !c.inExchange.Load() || c.seal() {
 		return c.Conn.Close()
 	}
 	ended := make(chan struct{})
@@ -61,13 +61,6 @@
 	return nil
 }
 
-// mayBeWritten reports whether the upstream may have got bytes since the last reset. It may have got them before the
-// write that sent them returns.
-func (c *trackedConn) mayBeWritten() bool {
-	state := c.state.Load()
-	return state == stateWriting || state == stateWritten
-}
-
 // ended returns a channel that is closed once the upstream has ended an abandoned exchange, or nil if none was
 // abandoned.
 func (c *trackedConn) ended() <-chan struct{} {
--- a/internal/transport/upstream/tracked_conn_test.go
+++ b/internal/transport/upstream/tracked_conn_test.go
@@ -51,3 +51,36 @@
 	assert.NilError(t, far.Close())
 	<-ended
 }
+
+// closingConn is a connection whose end takes time, and which can still be written to meanwhile.
+type closingConn struct {
+	net.Conn
+	closing, closed chan struct{}
+}
+
+func (c *closingConn) Write(p []byte) (int, error) { return len(p), nil }
+
+func (c *closingConn) CloseWrite() error { return nil }
+
+func (c *closingConn) Close() error {
+	close(c.closing)
+	<-c.closed
+	return c.Conn.Close()
+}
+
+// Guards against the same fault: a request that was given up before its first write was still written while the
+// connection was being closed.
+func TestExchangeGivenUpBeforeItsFirstWriteIsNotWritten(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { assert.NilError(t, far.Close()) }()
+	inner := &closingConn{near, make(chan struct{}), make(chan struct{})}
+	c := &trackedConn{Conn: inner}
+	c.inExchange.Store(true)
+	result := make(chan error, 1)
+	go func() { result <- c.Close() }()
+	<-inner.closing
+	_, err := c.Write([]byte("POST / HTTP/1.1"))
+	close(inner.closed)
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.NilError(t, <-result)
+}
