Log the critical path of late jobs and the load of the leader

7007 job-overdue has the stages of the critical path of each job that was completed after its due time, 7109 leader-load once a second what the leader had to do, what waits, the room left for it and how busy the control thread was. Histograms of both are on the metrics address.

--- a/internal/coordination/dispatch/action.go
+++ b/internal/coordination/dispatch/action.go
@@ -125,3 +125,5 @@
 func (LogEvent) isDispatchAction()        {}
 func (CancelCommitted) isDispatchAction() {}
 func (Deposed) isDispatchAction()         {}
+func (LoadSample) isDispatchAction()      {}
+func (JobStages) isDispatchAction()       {}
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -74,6 +74,7 @@
 	recovery         recovery
 	relays           relays
 	lagMeter         lagMeter
+	load             loadCounters
 	interference     interferenceModel
 	stepKinds        map[stepKind]int
 	opportunityCosts opportunityCosts
@@ -150,6 +151,7 @@
 	d.checkStalled(now)
 	d.evacuate(now)
 	d.relocate(now)
+	d.sampleLoad(now)
 	d.Advance(now)
 }
 
--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -32,7 +32,7 @@
 	switch end.Kind {
 	case job.EndDone:
 		w.health.succeeded()
-		d.taskDone(now, t)
+		d.taskDone(now, t, r)
 	case job.EndFailed:
 		d.taskFailed(now, t, w, end.Number)
 	case job.EndGangTimeout, job.EndOther:
@@ -40,11 +40,15 @@
 	d.markStarted(j)
 }
 
-func (d *Dispatcher) taskDone(now time.Time, t *task) {
+func (d *Dispatcher) taskDone(now time.Time, t *task, r *run) {
 	if t.done || t.step.LongRunning || t.owner.phase.Final() {
 		return
 	}
 	d.markDirty(t.owner)
+	t.step.path = t.step.pathBefore
+	if r != nil && r.task == t {
+		t.step.path.addEnd(now, t, r)
+	}
 	if !t.step.Gang {
 		d.finishTask(now, t)
 		return
@@ -72,12 +76,14 @@
 	}
 	for _, dependent := range s.dependents {
 		dependent.pendingDependencies--
+		dependent.pathBefore = s.path
 		for _, waiting := range dependent.tasks {
-			waiting.readySince = now
+			waiting.readySince, waiting.firstReadyAt = now, now
 		}
 	}
 	d.passNeeded = true
 	j := t.owner
+	j.path = s.path
 	o := j.occurrences[t.Occurrence]
 	o.stepsLeft--
 	if o.stepsLeft > 0 || len(j.occurrences) < j.Times {
@@ -89,6 +95,7 @@
 		}
 	}
 	if !j.phase.Final() {
+		d.recordStages(now, j)
 		d.endJob(j, job.Completed)
 	}
 }
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -101,6 +101,7 @@
 }
 
 func (d *Dispatcher) applyInventory(now, sent time.Time, w *worker, inv job.Inventory) {
+	d.load.inventories++
 	if w.Boot != 0 && inv.Boot > w.Boot {
 		d.workerRestarted(now, w, inv.Boot)
 	} else {
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -14,6 +14,10 @@
 	job.Job
 	// due is the time by which the job should be completed. It orders jobs of equal priority.
 	due time.Time
+	// acceptedAt is when the job was accepted, and learnedAt when this leader learned of it.
+	acceptedAt, learnedAt time.Time
+	// path holds the stages of the critical path to the step that ended last.
+	path pathStages
 	// sinceTakeover is set if no earlier leader can have started any of the job. Other jobs may have runs that this
 	// leader does not know yet.
 	sinceTakeover bool
@@ -57,6 +61,10 @@
 	kind int
 	// pendingDependencies counts the earlier steps that are not done.
 	pendingDependencies int
+	// pathBefore holds the stages of the critical path to the end of the last dependency.
+	pathBefore pathStages
+	// path holds those to the end of this step, once a task has ended: of the task that ended last so far.
+	path pathStages
 	// dependents are the steps that wait for this one.
 	dependents []*step
 	// waitLogged is set once a long wait of one of the tasks was logged.
@@ -79,8 +87,11 @@
 	checkpoint job.Checkpoint
 	runs       []*run
 	// waiting is set while the task is neither done nor has a run; it is counted in its step and job.
-	waiting    bool
-	readySince time.Time
+	waiting bool
+	// readySince is since when the task has been ready after its last run; firstReadyAt is when it became ready first.
+	readySince, firstReadyAt time.Time
+	// startedRuns counts the runs that this leader has started.
+	startedRuns int
 	// hasRun is set once a run of the task has ended that its worker had confirmed.
 	hasRun bool
 	// crashes is the number of crashes of workers that are charged to the task.
@@ -117,7 +128,8 @@
 		d.endedJobs = append(d.endedJobs, state)
 		return
 	}
-	state.due, state.workValue = d.dueTime(&j, now), 1
+	state.acceptedAt, state.learnedAt = acceptedAt(&j, now), now
+	state.due, state.workValue = d.dueTime(&j, state.acceptedAt), 1
 	d.updateMemoryPerCPU(&j)
 	d.insertJob(state)
 	d.pendingJobs[j.Queue]++
@@ -149,13 +161,17 @@
 	}
 }
 
-// dueTime returns when a job should be completed. The time of acceptance may have been read from the clock of another
-// machine, so it is used only if it lies within the last minute.
-func (d *Dispatcher) dueTime(j *job.Job, now time.Time) time.Time {
-	accepted := now
+// acceptedAt returns when a job was accepted. The time may have been read from the clock of another machine, so it is
+// used only if it lies within the last minute.
+func acceptedAt(j *job.Job, now time.Time) time.Time {
 	if age := now.Sub(j.Accepted); age > 0 && age < time.Minute {
-		accepted = now.Add(-age)
+		return now.Add(-age)
 	}
+	return now
+}
+
+// dueTime returns when a job should be completed that was accepted at a time.
+func (d *Dispatcher) dueTime(j *job.Job, accepted time.Time) time.Time {
 	r := d.routes[j.Queue]
 	slack := max(r.Slack, 1)
 	return accepted.Add(time.Duration(slack*float64(j.CriticalPath())) + r.TargetLatency)
@@ -190,7 +206,7 @@
 		for n := range s.Tasks {
 			t := &task{
 				Task: job.Task{Job: j.ID, Occurrence: number, Step: i, Index: n}, step: s, owner: j,
-				readySince: now,
+				readySince: now, firstReadyAt: now,
 			}
 			s.tasks = append(s.tasks, t)
 			t.updateWaiting()
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -74,7 +74,8 @@
 	// probeAt is when to check that the worker has survived the start of a charged task; zero if that is not needed.
 	probeAt    time.Time
 	checkpoint job.Checkpoint
-	placedAt   time.Time
+	// placedAt is when the run was placed, readyAt since when its task had been ready.
+	placedAt, readyAt time.Time
 }
 
 // reservedSize returns what a task of the step takes of its worker's capacity. Best-effort tasks reserve no CPU.
@@ -90,8 +91,10 @@
 func (d *Dispatcher) startTask(now time.Time, t *task, w *worker, number job.RunNumber) {
 	r := &run{
 		Run: job.Run{Task: t.Task, Number: number}, task: t, worker: w, size: reservedSize(t.step.Step), pace: fullPercent,
-		placedAt: now, progressedAt: now, checkpoint: t.checkpoint,
+		placedAt: now, readyAt: t.readySince, progressedAt: now, checkpoint: t.checkpoint,
 	}
+	t.startedRuns++
+	d.load.starts++
 	w.add(r)
 	w.used = w.used.Add(r.size)
 	t.runs = append(t.runs, r)
@@ -258,7 +261,7 @@
 // adoptRun adds a run that a worker reports and that this leader does not know. It stops the run if it is not wanted.
 func (d *Dispatcher) adoptRun(now time.Time, w *worker, key job.Run) *run {
 	r := &run{
-		Run: key, worker: w, phase: running, confirmedAt: now, pace: unknownPace, placedAt: now,
+		Run: key, worker: w, phase: running, confirmedAt: now, pace: unknownPace, placedAt: now, readyAt: now,
 		progressedAt: now,
 	}
 	w.add(r)
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -22,6 +22,7 @@
 
 // place runs a placement pass: it starts ready tasks in the order of their jobs.
 func (d *Dispatcher) place(now time.Time) {
+	d.load.passes++
 	d.updateOpportunityCosts(now)
 	p := d.newPass(now)
 	for _, j := range d.openJobs {
--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -33,6 +33,7 @@
 // candidate returns a worker as a candidate for a task. room is false if the worker has no room, and ok if the task may
 // not start there.
 func (p *pass) candidate(t *task, w *worker, index int, route job.Route) (c scoredWorker, room, ok bool) {
+	p.d.load.candidates++
 	if !p.acceptsStarts(w, route) || !reservedSize(t.step.Step).FitsIn(w.free()) || !t.step.BestEffort && p.reserved[w] {
 		return c, false, false
 	}
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -29,6 +29,8 @@
 	// cancelCommitted counts the CancelCommitted actions of each job.
 	cancelCommitted map[job.ID]int
 	logEvents       []LogEvent
+	stages          []JobStages
+	loads           []LoadSample
 	deposed         bool
 	holds           []Hold
 	jobsByID        map[job.ID]*job.Job
@@ -242,6 +244,10 @@
 			sim.cancelCommitted[a.Job]++
 		case LogEvent:
 			sim.logEvents = append(sim.logEvents, a)
+		case JobStages:
+			sim.stages = append(sim.stages, a)
+		case LoadSample:
+			sim.loads = append(sim.loads, a)
 		case Deposed:
 			sim.deposed = d == sim.leader
 		}
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -64,6 +64,7 @@
 	JobUndecided        Code = 7004
 	CancelAnswered      Code = 7005
 	QueueUnknown        Code = 7006
+	JobOverdue          Code = 7007
 	LeaderElected       Code = 7101
 	LeaderDeposed       Code = 7102
 	LeaderFollowed      Code = 7103
@@ -72,6 +73,7 @@
 	CommitDelayed       Code = 7106
 	LeaseNotRevoked     Code = 7107
 	StepPanicked        Code = 7108
+	LeaderLoad          Code = 7109
 	RunPlaced           Code = 7201
 	RunEnded            Code = 7202
 	StartRefused        Code = 7203
@@ -153,6 +155,7 @@
 	JobUndecided:        {"job-undecided", Warn, "the store did not confirm in time whether a job was stored"},
 	CancelAnswered:      {"cancel-answered", Info, "a cancellation request was answered"},
 	QueueUnknown:        {"queue-unknown", Info, "a request names a queue that the configuration in force does not have"},
+	JobOverdue:          {"job-overdue", Info, "a job was completed after its due time"},
 	LeaderElected:       {"leader-elected", Info, "this entry became the leader and schedules jobs"},
 	LeaderDeposed:       {"leader-deposed", Warn, "this entry is no longer the leader"},
 	LeaderFollowed:      {"leader-followed", Info, "another entry is the leader"},
@@ -161,6 +164,7 @@
 	CommitDelayed:       {"commit-delayed", Warn, "the outcome of a progress commit is unknown; it is retried"},
 	LeaseNotRevoked:     {"lease-kept", Warn, "a lease could not be revoked; it expires by itself"},
 	StepPanicked:        {"step-panicked", Error, "an event could not be processed; a leader gives its leadership up"},
+	LeaderLoad:          {"leader-load", Info, "what the leader had to do in the last second, and what waits"},
 	RunPlaced:           {"run-placed", Info, "a task was placed on a worker"},
 	RunEnded:            {"run-ended", Info, "a worker reported the end of a run"},
 	StartRefused:        {"start-refused", Warn, "a worker refused to start a task; the task is rescheduled"},
--- a/internal/transport/actorloop/loop.go
+++ b/internal/transport/actorloop/loop.go
@@ -48,6 +48,9 @@
 	// Merge, if not nil, returns one event that stands for several queued ones, so that the core makes its decisions
 	// once for all of them. It gets at least two events.
 	Merge func([]E) E
+	// Observe, if not nil, is told how long the first of the queued events had waited when they were taken, and how long
+	// it took to process them and to start their actions. It must not block.
+	Observe func(queued, took time.Duration)
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
 	// Tick returns the event to send every Interval.
@@ -67,11 +70,13 @@
 	queueMu      sync.Mutex
 	// queue holds the events that the actor has not taken yet. While it is not empty, an eventsQueued message is on its
 	// way to the actor.
-	queue      []E
-	ctx        context.Context
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
-	stopOnce   sync.Once
+	queue []E
+	// queuedSince is when the first event of the queue was added.
+	queuedSince time.Time
+	ctx         context.Context
+	cancel      context.CancelFunc
+	goroutines  sync.WaitGroup
+	stopOnce    sync.Once
 
 	repliesMu   sync.Mutex
 	replies     map[uint64]chan Reply
@@ -130,6 +135,9 @@
 func (l *Loop[E, A, V]) enqueue(ev E) {
 	l.queueMu.Lock()
 	wasEmpty := len(l.queue) == 0
+	if wasEmpty {
+		l.queuedSince = time.Now()
+	}
 	l.queue = append(l.queue, ev)
 	l.queueMu.Unlock()
 	if wasEmpty {
@@ -137,16 +145,16 @@
 	}
 }
 
-// takeQueue returns the queued events and frees their slots.
-func (l *Loop[E, A, V]) takeQueue() []E {
+// takeQueue returns the queued events, and since when the first was queued, and frees their slots.
+func (l *Loop[E, A, V]) takeQueue() ([]E, time.Time) {
 	l.queueMu.Lock()
-	events := l.queue
+	events, since := l.queue, l.queuedSince
 	l.queue = nil
 	l.queueMu.Unlock()
 	for range events {
 		<-l.mailboxSlots
 	}
-	return events
+	return events, since
 }
 
 // TrySend queues an event unless the mailbox is full, and reports whether it did.
@@ -240,7 +248,8 @@
 	if _, ok := ctx.Message().(eventsQueued); !ok {
 		return
 	}
-	events := l.takeQueue()
+	events, queuedSince := l.takeQueue()
+	began := time.Now()
 	if l.options.Merge != nil && len(events) > 1 {
 		events = []E{l.options.Merge(events)}
 	}
@@ -251,6 +260,9 @@
 			l.perform(action)
 		}
 	}
+	if l.options.Observe != nil {
+		l.options.Observe(began.Sub(queuedSince), time.Since(began))
+	}
 }
 
 // perform delivers a reply, or executes an action inline or on a new goroutine that sends the result to the core. After
--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -58,6 +58,9 @@
 		event.Log(e.Logger, a.Code, a.Attrs...)
 		return true
 	case scheduler.Dispatch:
+		if e.report(a.Action) {
+			return true
+		}
 		target, isOrder := dispatch.TargetOf(a.Action)
 		if !isOrder || target.Relay == "" || e.Relays == nil {
 			return false
--- a/internal/transport/jobs/host.go
+++ b/internal/transport/jobs/host.go
@@ -24,8 +24,9 @@
 	executor.Store = &ReportingStore{store: executor.Store, notifyCore: a.notifyCore}
 	a.Loop = actorloop.Start(actorloop.Options[scheduler.Event, scheduler.Action, scheduler.View]{
 		Core: scheduler.New(settings, random), ReplyOf: replyOf, Inline: executor.Inline, Perform: executor.Perform,
-		Merge: func(events []scheduler.Event) scheduler.Event { return scheduler.Batch(events) },
-		Tick:  func() scheduler.Event { return scheduler.Tick{Queued: time.Now()} }, Interval: scheduler.TickInterval,
+		Observe: executor.Metrics.observeStep,
+		Merge:   func(events []scheduler.Event) scheduler.Event { return scheduler.Batch(events) },
+		Tick:    func() scheduler.Event { return scheduler.Tick{Queued: time.Now()} }, Interval: scheduler.TickInterval,
 	})
 	return a, a.Send(ctx, scheduler.Start{})
 }
--- a/internal/transport/jobs/metrics.go
+++ b/internal/transport/jobs/metrics.go
@@ -15,6 +15,10 @@
 	set           *metrics.Set
 	holds         *metrics.Counter
 	commitSeconds *metrics.Histogram
+	// queuedSeconds and stepSeconds are the waiting times of events for the control thread and the durations of its steps.
+	queuedSeconds, stepSeconds *metrics.Histogram
+	control                    controlLoad
+	stages                     stageHistograms
 }
 
 // NewMetrics returns metrics in a set of their own.
@@ -23,6 +27,8 @@
 	return &Metrics{
 		set: set, holds: set.NewCounter("jujubearch_worker_holds_total"),
 		commitSeconds: set.NewHistogram("jujubearch_commit_seconds"),
+		queuedSeconds: set.NewHistogram("jujubearch_control_queued_seconds"),
+		stepSeconds:   set.NewHistogram("jujubearch_control_step_seconds"), stages: newStageHistograms(set),
 	}
 }
 
