Examine a bounded number of workers for the best-effort tasks of a step

A best-effort step now gets 128 workers, the next one the following 128. The best of 128 is nearly as good as the best of all, and fleets of up to 128 workers are treated as before. Steps that need certain workers, by a label or the rack of their data, get all of them.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -87,6 +87,8 @@
 	memoryPerCPU float64
 	// relocateCursor is the index in sortedWorkers of the worker that relocate checked last.
 	relocateCursor int
+	// candidateCursor is the index in sortedWorkers at which the candidates for the next best-effort step begin.
+	candidateCursor int
 	// adviceInFlight is the number of unanswered advice requests.
 	adviceInFlight int
 	// passNeeded is set when a task became ready or capacity became free.
--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"iter"
+	"slices"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
 )
@@ -75,6 +77,29 @@
 	p.rejectedKinds[kind] = max(p.rejectedKinds[kind], t.owner.workValue)
 }
 
+// maxBestEffortCandidates is the number of workers that are examined for the best-effort tasks of a step. The best of this
+// many is nearly as good as the best of all, and a pass over a backlog must not delay other work in a large fleet.
+const maxBestEffortCandidates = 128
+
+// candidates returns the workers that are examined for the tasks of a step, with their indexes in sortedWorkers. In a
+// large fleet, successive best-effort steps get successive parts of it, unless they need certain workers.
+func (d *Dispatcher) candidates(s *step) iter.Seq2[int, *worker] {
+	all := len(d.sortedWorkers)
+	if !s.BestEffort || s.DataRack != "" || s.Label != "" || all <= maxBestEffortCandidates {
+		return slices.All(d.sortedWorkers)
+	}
+	first := d.candidateCursor % all
+	d.candidateCursor = (first + maxBestEffortCandidates) % all
+	return func(yield func(int, *worker) bool) {
+		for n := range maxBestEffortCandidates {
+			i := (first + n) % all
+			if !yield(i, d.sortedWorkers[i]) {
+				return
+			}
+		}
+	}
+}
+
 // chooseWorker returns the best worker for a task, or nil.
 func (p *pass) chooseWorker(t *task, route job.Route) *worker {
 	if p.isHopeless(t, route) {
@@ -82,7 +107,7 @@
 	}
 	var best scoredWorker
 	anyRoom := false
-	for i, w := range p.d.sortedWorkers {
+	for i, w := range p.d.candidates(t.step) {
 		c, room, ok := p.candidate(t, w, i, route)
 		anyRoom = anyRoom || room
 		if ok && c.betterThan(best) {
@@ -154,11 +179,11 @@
 	return best.worker
 }
 
-// rank scores all workers for the tasks of a step.
+// rank scores the candidates for the tasks of a step.
 func (p *pass) rank(t *task, route job.Route) *ranking {
-	r := make(ranking, 0, len(p.d.sortedWorkers))
+	var r ranking
 	anyRoom := false
-	for i, w := range p.d.sortedWorkers {
+	for i, w := range p.d.candidates(t.step) {
 		c, room, ok := p.candidate(t, w, i, route)
 		anyRoom = anyRoom || room
 		if ok {
