Find workers with room without examining all of them

The index of free capacity, which the placement of intents uses, becomes a package of its own and holds the workers of the dispatcher: work that reserves CPU examines only workers that have room for it. Jobs with short tasks are in a list of their own.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 import (
 	"time"
 
+	"github.com/jujubearch/jujubearch/internal/coordination/capacity"
 	"github.com/jujubearch/jujubearch/internal/state/job"
 	"github.com/jujubearch/jujubearch/internal/state/model"
 	"github.com/jujubearch/jujubearch/internal/state/notice"
@@ -59,11 +60,15 @@
 	jobs   map[job.ID]*jobState
 	// openJobs lists the jobs that have not ended, in the order of compareJobs.
 	openJobs []*jobState
+	// shortJobs are those of them with short tasks that reserve CPU, in the same order.
+	shortJobs []*jobState
 	// endedJobs lists the jobs in a final phase, in the order in which that was committed.
 	endedJobs []*jobState
 	workers   map[model.WorkerID]*worker
 	// sortedWorkers is ordered by worker id, so that equal inputs lead to equal decisions.
 	sortedWorkers []*worker
+	// room holds the free capacity of sortedWorkers; nil while it has to be built anew.
+	room *capacity.Index
 	// withoutHold are the workers that have no hold in flight.
 	withoutHold []*worker
 	// registered are the workers named in the store's registry. A dead worker is removed once the registry no longer
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -177,10 +177,31 @@
 	return accepted.Add(time.Duration(slack*float64(j.CriticalPath())) + r.TargetLatency)
 }
 
-// insertJob inserts a job into openJobs.
+// insertJob inserts a job into openJobs and, where it belongs there, into shortJobs.
 func (d *Dispatcher) insertJob(j *jobState) {
-	at, _ := slices.BinarySearchFunc(d.openJobs, j, func(a, b *jobState) int { return d.compareJobs(a, b) })
-	d.openJobs = slices.Insert(d.openJobs, at, j)
+	d.openJobs = d.insertSorted(d.openJobs, j)
+	if j.hasShortTasks() {
+		d.shortJobs = d.insertSorted(d.shortJobs, j)
+	}
+}
+
+func (d *Dispatcher) insertSorted(list []*jobState, j *jobState) []*jobState {
+	at, _ := slices.BinarySearchFunc(list, j, func(a, b *jobState) int { return d.compareJobs(a, b) })
+	return slices.Insert(list, at, j)
+}
+
+// removeJob removes a job from openJobs and shortJobs.
+func (d *Dispatcher) removeJob(j *jobState) {
+	isJob := func(other *jobState) bool { return other == j }
+	d.openJobs = slices.DeleteFunc(d.openJobs, isJob)
+	if j.hasShortTasks() {
+		d.shortJobs = slices.DeleteFunc(d.shortJobs, isJob)
+	}
+}
+
+// hasShortTasks reports whether placeShort may place tasks of a job.
+func (j *jobState) hasShortTasks() bool {
+	return !j.LongRunning() && slices.ContainsFunc(j.Steps, func(s job.Step) bool { return !s.BestEffort && !s.Gang })
 }
 
 // compareJobs orders jobs by priority and then by due time. Long-running jobs come last within a priority: they hold
@@ -352,7 +373,5 @@
 			}
 		}
 	}
-	if at := slices.Index(d.openJobs, j); at >= 0 {
-		d.openJobs = slices.Delete(d.openJobs, at, at+1)
-	}
+	d.removeJob(j)
 }
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -96,7 +96,7 @@
 	t.startedRuns++
 	d.load.starts++
 	w.add(r)
-	w.used = w.used.Add(r.size)
+	d.reserve(r)
 	t.runs = append(t.runs, r)
 	t.updateWaiting()
 	d.logEvent(notice.RunPlaced, Attr{Key: "job", Value: t.Job}, Attr{Key: "task", Value: t.String()},
@@ -266,7 +266,7 @@
 	}
 	w.add(r)
 	r.size = d.adoptedSize(w, key.Task)
-	w.used = w.used.Add(r.size)
+	d.reserve(r)
 	if j, ok := d.jobs[key.Task.Job]; ok {
 		if t := j.findTask(key.Task.Key()); t != nil {
 			r.task = t
@@ -304,7 +304,7 @@
 	if at := slices.Index(w.orderedRuns, r); at >= 0 {
 		w.orderedRuns = slices.Delete(w.orderedRuns, at, at+1)
 	}
-	w.used = w.used.Sub(r.size)
+	d.release(r)
 	d.passNeeded = true
 	t := r.task
 	if t == nil {
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -42,8 +42,8 @@
 func (d *Dispatcher) placeShort(now time.Time) {
 	p := d.newPass(now)
 	p.reserved = d.reserved
-	for _, j := range d.openJobs {
-		if j.waiting == 0 || j.LongRunning() || !d.mayPlace(j) {
+	for _, j := range d.shortJobs {
+		if j.waiting == 0 || !d.mayPlace(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"iter"
-	"slices"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
 )
@@ -82,11 +81,12 @@
 const maxBestEffortCandidates = 128
 
 // candidates returns the workers that are examined for the tasks of a step, with their indexes in sortedWorkers. In a
-// large fleet, successive best-effort steps get successive parts of it, unless they need certain workers.
+// large fleet, successive best-effort steps get successive parts of it, unless they need certain workers; other steps get
+// all workers that have room.
 func (d *Dispatcher) candidates(s *step) iter.Seq2[int, *worker] {
 	all := len(d.sortedWorkers)
 	if !s.BestEffort || s.DataRack != "" || s.Label != "" || all <= maxBestEffortCandidates {
-		return slices.All(d.sortedWorkers)
+		return d.workersWithRoom(reservedSize(s.Step))
 	}
 	first := d.candidateCursor % all
 	d.candidateCursor = (first + maxBestEffortCandidates) % all
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -40,6 +40,8 @@
 // worker is the state of a worker. It is reset in part when the worker restarts under its id.
 type worker struct {
 	job.Worker
+	// index is the place of the worker in sortedWorkers while the dispatcher's room is built.
+	index int
 	// listed is set while the platform's VM list names the worker.
 	listed bool
 	// open is set while the worker may get starts. That requires storedOpen: the registry in the store has the worker
@@ -173,6 +175,7 @@
 	boot := max(w.Boot, info.Boot)
 	w.Worker, w.listed = info, true
 	w.Boot = boot
+	d.updateRoom(w)
 	d.updateOpen(w)
 }
 
@@ -210,6 +213,7 @@
 	d.relays.changed = true
 	at, _ := slices.BinarySearchFunc(d.sortedWorkers, w, compareWorkers)
 	d.sortedWorkers = slices.Insert(d.sortedWorkers, at, w)
+	d.room = nil
 	return w
 }
 
@@ -219,6 +223,7 @@
 	delete(d.workers, w.ID)
 	if at, found := slices.BinarySearchFunc(d.sortedWorkers, w, compareWorkers); found {
 		d.sortedWorkers = slices.Delete(d.sortedWorkers, at, at+1)
+		d.room = nil
 	}
 }
 
--- a/internal/coordination/placement/fleet.go
+++ b/internal/coordination/placement/fleet.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/jujubearch/jujubearch/internal/coordination/capacity"
 	"github.com/jujubearch/jujubearch/internal/state/model"
 )
 
@@ -29,7 +30,7 @@
 	positions map[model.WorkerID]int
 	// allIndex holds the free capacity of every worker. In batchIndex, a worker whose services are predicted above
 	// LatencyLimit has no capacity, and UrgentReserve is subtracted.
-	allIndex, batchIndex *capacityIndex
+	allIndex, batchIndex *capacity.Index
 	instancesByRack      map[serviceRack]int
 	// unplaceable holds the requests that found no worker since capacity was last released.
 	unplaceable map[Request]bool
@@ -50,7 +51,7 @@
 	}
 	f := &Fleet{
 		weights: weights, slowdown: slowdown, workers: workers, positions: make(map[model.WorkerID]int, len(workers)),
-		allIndex: newCapacityIndex(len(workers)), batchIndex: newCapacityIndex(len(workers)),
+		allIndex: capacity.NewIndex(len(workers)), batchIndex: capacity.NewIndex(len(workers)),
 		instancesByRack: make(map[serviceRack]int), unplaceable: make(map[Request]bool),
 	}
 	for i := range workers {
@@ -70,12 +71,12 @@
 // updateIndexes stores the current free capacity of worker i in both indexes.
 func (f *Fleet) updateIndexes(now time.Time, i int) {
 	w := &f.workers[i]
-	f.allIndex.set(i, w.Free)
+	f.allIndex.Set(i, w.Free)
 	free := w.Free.Sub(w.UrgentReserve)
 	if len(w.Services) > 0 && f.worstPrediction(now, w, selfKind).Upper > LatencyLimit {
-		free = noCapacity
+		free = capacity.None
 	}
-	f.batchIndex.set(i, free)
+	f.batchIndex.Set(i, free)
 }
 
 // worstPrediction returns the prediction with the largest upper bound among the services on a worker, assuming one more
@@ -129,7 +130,7 @@
 // search is the state of one search for a worker.
 type search struct {
 	fleet     *Fleet
-	index     *capacityIndex
+	index     *capacity.Index
 	request   Request
 	now       time.Time
 	unbounded bool
@@ -141,7 +142,7 @@
 
 // scan scores the workers in [from, to) that have enough free capacity and reports whether the search is done.
 func (s *search) scan(from, to int) bool {
-	for leaf := s.index.next(from, s.request.Need); leaf >= 0 && leaf < to; leaf = s.index.next(leaf+1, s.request.Need) {
+	for leaf := s.index.Next(from, s.request.Need); leaf >= 0 && leaf < to; leaf = s.index.Next(leaf+1, s.request.Need) {
 		s.visits++
 		if c, ok := s.fleet.score(s.now, leaf, s.request); ok {
 			if s.suitable == 0 || c.Score < s.best.Score {
--- a/internal/coordination/placement/runnable.go
+++ b/internal/coordination/placement/runnable.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/jujubearch/jujubearch/internal/coordination/capacity"
 	"github.com/jujubearch/jujubearch/internal/state/model"
 )
 
@@ -21,7 +22,7 @@
 		if job.Declared.FitsIn(c) {
 			return "", false
 		}
-		largest = maxPerResource(largest, c)
+		largest = capacity.Largest(largest, c)
 	}
 	if job.Declared.FitsIn(largest) {
 		return fmt.Sprintf("one task needs %s; no single worker has all of it", formatResources(job.Declared)), true
