Look slopes up by the number of the image

Best-effort images are numbered, each fit holds its slopes by number, and the opportunity costs look up the slopes of each serving image once.

--- a/internal/coordination/dispatch/estimate.go
+++ b/internal/coordination/dispatch/estimate.go
@@ -66,26 +66,43 @@
 
 func (d *Dispatcher) makeForecast(now time.Time, w *worker) *workerForecast {
 	forecast := &workerForecast{madeAt: now, unusedCores: w.unusedCores()}
-	var bestEffort imageShares
+	var bestEffort []numberedShare
 	for _, r := range w.orderedRuns {
 		if r.task != nil && r.task.step.BestEffort && r.phase != stopping {
-			bestEffort.add(r.task.step.Image, cpuShare(r.task.step.Size, w))
+			bestEffort = append(bestEffort, numberedShare{d.imageNumber(r.task.step), cpuShare(r.task.step.Size, w)})
 		}
 	}
 	for _, r := range w.orderedRuns {
 		if r.task == nil || r.task.step.TailLatencyTarget <= 0 || r.phase == stopping {
 			continue
 		}
-		n := neighbour{image: r.task.step.Image, margin: r.marginAt(r.task.step.load.sustained(now))}
+		n := neighbour{
+			slopes: d.interference.fits[r.task.step.Image],
+			margin: r.marginAt(r.task.step.load.sustained(now)),
+		}
 		forecast.halting = forecast.halting || !r.aboveTargetSince.IsZero() && now.Sub(r.aboveTargetSince) > haltAfter
 		for _, s := range bestEffort {
-			n.margin -= d.cautiousSlope(n.image, s.image) * s.share
+			n.margin -= n.slopes.pair(s.image).cautious() * s.share
 		}
 		forecast.neighbours = append(forecast.neighbours, n)
 	}
 	return forecast
 }
 
+// numberedShare is the share of a worker's CPU that a best-effort image uses, by the image's number.
+type numberedShare struct {
+	image int
+	share float64
+}
+
+// imageNumber returns the number of the image of a best-effort step.
+func (d *Dispatcher) imageNumber(s *step) int {
+	if s.imageNumber == 0 {
+		s.imageNumber = d.interference.images.of(s.Image) + 1
+	}
+	return s.imageNumber - 1
+}
+
 // estimateFor returns the estimate for placing a further task of a best-effort step on a worker.
 func (d *Dispatcher) estimateFor(now time.Time, w *worker, s *step) *placementEstimate {
 	forecast, kind := d.forecastOf(now, w), d.kindOf(s)
@@ -106,8 +123,9 @@
 		return e
 	}
 	e.speed = min(max(forecast.unusedCores, 0)/(float64(s.Size.CPUMillis)/millisPerCore), 1)
+	image := d.imageNumber(s)
 	for _, n := range forecast.neighbours {
-		headroomLoss := d.cautiousSlope(n.image, s.Image) * share
+		headroomLoss := n.slopes.pair(image).cautious() * share
 		e.loss += headroomLoss
 		e.cost += placementViolationCost / share *
 			(violationRisk(n.margin-headroomLoss, placementMarginError) - violationRisk(n.margin, placementMarginError))
--- a/internal/coordination/dispatch/headroom_test.go
+++ b/internal/coordination/dispatch/headroom_test.go
@@ -75,12 +75,12 @@
 // Guards against halting harmless tasks along with harmful ones, and against best-effort work beside a task that has
 // been above its target for long.
 func TestPaceHaltsMostHarmfulTasks(t *testing.T) {
-	neighbours := []neighbour{{image: "s", margin: 0.1}, {image: "s", margin: 0.1}, {image: "s", margin: 0.1}}
+	neighbours := []neighbour{{margin: 0.1}, {margin: 0.1}, {margin: 0.1}}
 	harmless := paceCandidate{share: 0.1, workValue: 1, losses: []float64{0.05, 0.05, 0.05}}
 	harmful := paceCandidate{share: 0.1, workValue: 1, losses: []float64{1, 1, 1}}
 	assert.Equal(t, harmless.choosePace(neighbours), fullPercent)
 	assert.Equal(t, harmful.choosePace(neighbours), 0)
-	protected := []neighbour{{image: "s", margin: 2, protected: true}}
+	protected := []neighbour{{margin: 2, protected: true}}
 	alone := paceCandidate{share: 0.1, workValue: 1, losses: []float64{0.05}}
 	assert.Equal(t, alone.choosePace(protected), 0)
 }
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -59,6 +59,8 @@
 	waiting int
 	// kind is the index of the estimates for best-effort tasks of this step, plus 1; 0 before the first use.
 	kind int
+	// imageNumber is the number of the step's image, plus 1; 0 before the first use.
+	imageNumber int
 	// pendingDependencies counts the earlier steps that are not done.
 	pendingDependencies int
 	// pathBefore holds the stages of the critical path to the end of the last dependency.
--- a/internal/coordination/dispatch/interference.go
+++ b/internal/coordination/dispatch/interference.go
@@ -43,9 +43,24 @@
 	maxOffset = 1.0
 )
 
+// imageNumbers numbers the best-effort images from 0.
+type imageNumbers map[string]int
+
+// of returns the number of an image. It adds the image if it is new.
+func (n imageNumbers) of(image string) int {
+	number, known := n[image]
+	if !known {
+		number = len(n)
+		n[image] = number
+	}
+	return number
+}
+
 // interferenceModel holds the learned slopes of all pairs of images.
 type interferenceModel struct {
+	// fits holds the fits by serving image. They share the numbers of the best-effort images.
 	fits     map[string]*slopeFit
+	images   imageNumbers
 	fittedAt time.Time
 	// storedAt is when the slopes were last part of a commit. unstored is set if they have been fitted again since.
 	storedAt time.Time
@@ -53,7 +68,7 @@
 }
 
 func newInterferenceModel() interferenceModel {
-	return interferenceModel{fits: make(map[string]*slopeFit)}
+	return interferenceModel{fits: make(map[string]*slopeFit), images: make(imageNumbers)}
 }
 
 // slopeFit is the least squares fit for one serving image.
@@ -65,9 +80,39 @@
 	products []float64
 	// slopes is the solution, and stdErrors its standard errors.
 	slopes, stdErrors []float64
+	// pairs repeats the solution by the number of the best-effort image, for lookups without a search.
+	images imageNumbers
+	pairs  []pairSlope
+}
+
+// pairSlope is the slope of a pair of images, which is not negative, and its standard error.
+type pairSlope struct{ slope, stdError float64 }
+
+// cautious returns the slope plus an allowance for its error.
+func (p pairSlope) cautious() float64 { return p.slope + slopeErrorFactor*p.stdError }
+
+func newSlopeFit() *slopeFit {
+	return &slopeFit{columns: make(map[string]int), images: make(imageNumbers)}
 }
 
-func newSlopeFit() *slopeFit { return &slopeFit{columns: make(map[string]int)} }
+// pair returns the slope for the best-effort image with a number. The fit may be nil: nothing is known then.
+func (f *slopeFit) pair(number int) pairSlope {
+	if f == nil || number >= len(f.pairs) {
+		return pairSlope{initialSlope, initialSlopeSD}
+	}
+	return f.pairs[number]
+}
+
+// updatePairs copies the solution to pairs.
+func (f *slopeFit) updatePairs() {
+	for image, c := range f.columns {
+		number := f.images.of(image)
+		for number >= len(f.pairs) {
+			f.pairs = append(f.pairs, pairSlope{initialSlope, initialSlopeSD})
+		}
+		f.pairs[number] = pairSlope{max(0, f.slopes[c]), f.stdErrors[c]}
+	}
+}
 
 // column returns the column of a best-effort image. It adds one if the image is new.
 func (f *slopeFit) column(bestEffort string) int {
@@ -91,6 +136,7 @@
 	f, known := m.fits[serving]
 	if !known {
 		f = newSlopeFit()
+		f.images = m.images
 		m.fits[serving] = f
 	}
 	return f
@@ -102,11 +148,8 @@
 	if !known {
 		return initialSlope, initialSlopeSD
 	}
-	c, known := f.columns[bestEffort]
-	if !known {
-		return initialSlope, initialSlopeSD
-	}
-	return max(0, f.slopes[c]), f.stdErrors[c]
+	p := f.pair(f.images.of(bestEffort))
+	return p.slope, p.stdError
 }
 
 // loss returns the headroom that the best-effort images on a worker take from a serving image, and its variance.
@@ -168,6 +211,7 @@
 	for i := range n {
 		f.slopes[i], f.stdErrors[i] = solved.AtVec(i), math.Sqrt(inverse.At(i, i))
 	}
+	f.updatePairs()
 }
 
 // cpuShare returns the share of a worker's CPU that a best-effort task of the given size uses at full pace.
--- a/internal/coordination/dispatch/opportunity.go
+++ b/internal/coordination/dispatch/opportunity.go
@@ -16,37 +16,62 @@
 	updatedAt time.Time
 	// demand is each image's share of the unfinished best-effort tasks.
 	demand imageShares
-	// meanSlopes is, for each image, the mean over all workers of the slope to the serving tasks of a worker.
-	meanSlopes map[string]float64
+	// meanSlopes is, for each image in demand, the mean over all workers of the slope to the serving tasks of a worker.
+	meanSlopes []float64
 }
 
 // opportunityCost returns what the other images in demand lose if a worker takes a task of an image.
 func (d *Dispatcher) opportunityCost(w *worker, image string) float64 {
-	imageAdvantage := d.opportunityCosts.demand.shareOf(image) *
-		advantage(w.slopes[image], d.opportunityCosts.meanSlopes[image])
-	return opportunityWeight * max(w.totalAdvantage-imageAdvantage, 0)
+	own := 0.0
+	costs := &d.opportunityCosts
+	if at, wanted := costs.demand.find(image); wanted && at < len(w.slopes) {
+		own = costs.demand[at].share * advantage(w.slopes[at], costs.meanSlopes[at])
+	}
+	return opportunityWeight * max(w.totalAdvantage-own, 0)
 }
 
 // updateOpportunityCosts computes the opportunity costs anew, if that is due.
 func (d *Dispatcher) updateOpportunityCosts(now time.Time) {
-	if now.Sub(d.opportunityCosts.updatedAt) < opportunityInterval {
+	costs := &d.opportunityCosts
+	if now.Sub(costs.updatedAt) < opportunityInterval {
 		return
 	}
-	d.opportunityCosts = opportunityCosts{updatedAt: now, demand: d.bestEffortDemand()}
-	meanSlopes := make(map[string]float64, len(d.opportunityCosts.demand))
+	*costs = opportunityCosts{updatedAt: now, demand: d.bestEffortDemand()}
+	costs.meanSlopes = make([]float64, len(costs.demand))
+	slopesOf := make(map[string][]float64)
 	for _, w := range d.sortedWorkers {
-		w.slopes = d.slopesOn(w)
-		for image, slope := range w.slopes {
-			meanSlopes[image] += slope / float64(len(d.sortedWorkers))
+		w.slopes = make([]float64, len(costs.demand))
+		for _, r := range w.orderedRuns {
+			if r.task == nil || r.task.step.TailLatencyTarget <= 0 {
+				continue
+			}
+			image := r.task.step.Image
+			if slopesOf[image] == nil {
+				slopesOf[image] = d.slopesInDemand(image)
+			}
+			for i, slope := range slopesOf[image] {
+				w.slopes[i] += slope
+			}
+		}
+		for i, slope := range w.slopes {
+			costs.meanSlopes[i] += slope / float64(len(d.sortedWorkers))
 		}
 	}
 	for _, w := range d.sortedWorkers {
 		w.totalAdvantage = 0
-		for _, part := range d.opportunityCosts.demand {
-			w.totalAdvantage += part.share * advantage(w.slopes[part.image], meanSlopes[part.image])
+		for i, part := range costs.demand {
+			w.totalAdvantage += part.share * advantage(w.slopes[i], costs.meanSlopes[i])
 		}
 	}
-	d.opportunityCosts.meanSlopes = meanSlopes
+}
+
+// slopesInDemand returns the slopes of the images in demand to a serving image.
+func (d *Dispatcher) slopesInDemand(serving string) []float64 {
+	slopes := make([]float64, len(d.opportunityCosts.demand))
+	for i, part := range d.opportunityCosts.demand {
+		slopes[i], _ = d.interference.slopeOf(serving, part.image)
+	}
+	return slopes
 }
 
 // advantage is 1 if an image does no harm on a worker, and 0 if it does at least as much as on the average worker.
@@ -76,18 +101,3 @@
 	}
 	return demand
 }
-
-// slopesOn returns, for each image in demand, the sum of its slopes to the serving tasks on a worker.
-func (d *Dispatcher) slopesOn(w *worker) map[string]float64 {
-	slopes := make(map[string]float64, len(d.opportunityCosts.demand))
-	for _, r := range w.orderedRuns {
-		if r.task == nil || r.task.step.TailLatencyTarget <= 0 {
-			continue
-		}
-		for _, part := range d.opportunityCosts.demand {
-			slope, _ := d.interference.slopeOf(r.task.step.Image, part.image)
-			slopes[part.image] += slope
-		}
-	}
-	return slopes
-}
--- a/internal/coordination/dispatch/pace.go
+++ b/internal/coordination/dispatch/pace.go
@@ -73,7 +73,10 @@
 		if !r.serving() {
 			continue
 		}
-		n := neighbour{image: r.task.step.Image, margin: r.marginAt(r.task.step.load.predict(now, paceHorizon))}
+		n := neighbour{
+			slopes: d.interference.fits[r.task.step.Image],
+			margin: r.marginAt(r.task.step.load.predict(now, paceHorizon)),
+		}
 		if !r.aboveTargetSince.IsZero() && now.Sub(r.aboveTargetSince) > haltAfter {
 			n.protected = true
 		}
@@ -90,8 +93,9 @@
 		run: r, share: cpuShare(r.task.step.Size, r.worker), workValue: r.task.owner.workValue,
 		losses: make([]float64, len(neighbours)),
 	}
+	image := d.imageNumber(r.task.step)
 	for i, n := range neighbours {
-		slope, _ := d.interference.slopeOf(n.image, r.task.step.Image)
+		slope := n.slopes.pair(image).slope
 		c.losses[i] = slope * c.share
 		c.lossPerValue += slope / c.workValue
 	}
--- a/internal/coordination/dispatch/risk.go
+++ b/internal/coordination/dispatch/risk.go
@@ -28,7 +28,8 @@
 
 // neighbour is a serving task on the same worker as best-effort tasks.
 type neighbour struct {
-	image string
+	// slopes are those of its image; nil if nothing is known of it.
+	slopes *slopeFit
 	// margin is the expected headroom less 1, the headroom at the latency target.
 	margin float64
 	// protected means that it has been above its target for so long that no best-effort task may run beside it.
@@ -45,12 +46,6 @@
 	return min(max(0.5-margin/(2*marginError), 0), 1)
 }
 
-// cautiousSlope returns the slope of a pair of images plus an allowance for its error.
-func (d *Dispatcher) cautiousSlope(serving, bestEffort string) float64 {
-	slope, stdError := d.interference.slopeOf(serving, bestEffort)
-	return slope + slopeErrorFactor*stdError
-}
-
 // updateValue updates whether a job is late and what its work is worth. The value is low once the job is late. For an
 // urgent job it rises as less work is left, because the whole job is late if its last task is.
 func (j *jobState) updateValue(now time.Time) {
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -100,9 +100,10 @@
 	recentlyEnded []endedUse
 	// previousShares is the CPU use of each best-effort image at the previous report.
 	previousShares imageShares
-	// slopes holds for each best-effort image the sum of its interference slopes to the serving tasks on this worker.
+	// slopes holds for each best-effort image in demand the sum of its interference slopes to the serving tasks on this
+	// worker.
 	// totalAdvantage sums the advantages of the images on this worker, weighted by their share of the demand.
-	slopes         map[string]float64
+	slopes         []float64
 	totalAdvantage float64
 }
 
