Look at ticks and reservations only at what may have changed

Keeping workers free for urgent long-running tasks went through all workers for each such task, 25 times a second while the fleet was full.

Runs with an order to repeat or a probe are in a list. Progress is checked when an inventory arrives, which is the only time at which it can be found missing. Workers are sorted by free CPU once for all reservations, and sizes for which there is no worker are not tried again.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -90,7 +90,9 @@
 	// memoryPerCPU is the moving average of the memory demand, in bytes per thousandth of a core, of tasks that are
 	// neither best-effort nor long-running.
 	memoryPerCPU float64
-	// relocateCursor is the index in sortedWorkers of the worker that relocate checked last.
+	// toRetry are the runs with an order that is sent again, or with a probe that is sent, at some time.
+	toRetry []*run
+	// relocateCursor is the index in sortedWorkers of the worker that relocate searched last.
 	relocateCursor int
 	// candidateCursor is the index in sortedWorkers at which the candidates for the next best-effort step begin.
 	candidateCursor int
@@ -155,7 +157,6 @@
 	d.openDueOccurrences(now)
 	d.retryOrders(now)
 	d.checkWorkers(now)
-	d.checkStalled(now)
 	d.evacuate(now)
 	d.relocate(now)
 	d.sampleLoad(now)
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -132,6 +132,7 @@
 		d.commits.workersWithEnds = append(d.commits.workersWithEnds, w)
 	}
 	d.reconcileRuns(now, sent, w, inv.Running)
+	d.stopStalled(now, w)
 	if !w.fenced {
 		// An earlier leader may have renewed the leases up to the moment at which the worker was fenced.
 		w.leaseEnd = max(w.leaseEnd, inv.Clock+d.settings.MaxLease)
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -46,6 +46,8 @@
 	confirmedAt time.Time
 	// retryAt is when an unanswered order is sent again. It is zero while an order is in flight or none is needed.
 	retryAt time.Time
+	// retryListed is set while the run is in the dispatcher's toRetry.
+	retryListed bool
 	// startsSent counts the copies of the start order that were sent. A route's attempts, in contrast, are failed runs.
 	startsSent int
 	// stopConfirmed is set once the worker has accepted the stop.
@@ -146,6 +148,7 @@
 		r.phase, r.confirmedAt = running, now
 		if r.task != nil && r.task.crashes > 0 {
 			r.probeAt = now.Add(quickCrashTime)
+			d.listRetry(r)
 		}
 		d.markOwnerStarted(r)
 		if r.task != nil && r.task.step.BestEffort {
@@ -183,6 +186,7 @@
 func (d *Dispatcher) startUnanswered(now time.Time, r *run) {
 	if r.startsSent < maxStartAttempts {
 		r.retryAt = now.Add(orderRetryInterval)
+		d.listRetry(r)
 		return
 	}
 	d.stopRun(r, "no-answer")
@@ -226,6 +230,7 @@
 		d.markDead(now, w, proofAnotherBoot)
 	case response.Err != nil || response.Refusal != job.RefusedNone:
 		r.retryAt = now.Add(orderRetryInterval)
+		d.listRetry(r)
 	default:
 		// From now on the worker refuses the run's start, so an inventory without the run proves that it is gone.
 		r.confirmedAt, r.stopConfirmed = now, true
@@ -240,24 +245,6 @@
 	return w, w.runs[key]
 }
 
-// retryOrders sends unanswered orders again when their retry is due.
-func (d *Dispatcher) retryOrders(now time.Time) {
-	for _, w := range d.sortedWorkers {
-		for _, r := range w.orderedRuns {
-			d.probe(now, r)
-			if r.retryAt.IsZero() || now.Before(r.retryAt) {
-				continue
-			}
-			switch {
-			case r.phase == stopping:
-				d.sendStop(r)
-			case w.fenced:
-				d.sendStart(now, r)
-			}
-		}
-	}
-}
-
 // adoptRun adds a run that a worker reports and that this leader does not know. It stops the run if it is not wanted.
 func (d *Dispatcher) adoptRun(now time.Time, w *worker, key job.Run) *run {
 	r := &run{
@@ -266,7 +253,6 @@
 	}
 	w.add(r)
 	r.size = d.adoptedSize(w, key.Task)
-	d.reserve(r)
 	if j, ok := d.jobs[key.Task.Job]; ok {
 		if t := j.findTask(key.Task.Key()); t != nil {
 			r.task = t
@@ -274,6 +260,7 @@
 			t.updateWaiting()
 		}
 	}
+	d.reserve(r)
 	if r.task == nil || r.task.done || r.task.owner.phase.Final() ||
 		(len(r.task.runs) > 1 && !r.task.step.Speculative) {
 		d.stopRun(r, "not-wanted")
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -62,7 +62,7 @@
 	now time.Time
 	// tooLarge lists sizes for which no worker had room in this pass. Tasks of the same or a larger size are not tried
 	// again.
-	tooLarge []unplacedSize
+	tooLarge unplacedSizes
 	// unplacedSteps counts the steps with a task for which no worker was found.
 	unplacedSteps int
 	// rejectedKinds holds the kinds of best-effort work that no worker accepted in this pass, with the highest value of
@@ -70,6 +70,8 @@
 	rejectedKinds map[bestEffortKind]float64
 	// reserved are workers kept free for urgent tasks.
 	reserved map[*worker]bool
+	// reservedList holds those that this pass has reserved.
+	reservedList []*worker
 }
 
 // bestEffortKind holds what decides, beside its value, whether a worker accepts best-effort work. Sizes are left out
@@ -79,12 +81,26 @@
 	image   string
 }
 
+// unplacedSize is a size of work for which no worker was found.
 type unplacedSize struct {
 	service    model.ServiceName
 	bestEffort bool
 	size       model.Resources
 }
 
+type unplacedSizes []unplacedSize
+
+// contain reports whether the size, or a smaller one, is in the list.
+func (l unplacedSizes) contain(size unplacedSize) bool {
+	for i := range l {
+		f := &l[i]
+		if f.service == size.service && f.bestEffort == size.bestEffort && f.size.FitsIn(size.size) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) newPass(now time.Time) *pass {
 	return &pass{
 		d: d, now: now, reserved: make(map[*worker]bool),
@@ -169,14 +185,7 @@
 // knownTooLarge reports whether a task of this size, or a smaller one, of the same service already found no room in
 // this pass.
 func (p *pass) knownTooLarge(s *step, route job.Route) bool {
-	size := reservedSize(s.Step)
-	for i := range p.tooLarge {
-		f := &p.tooLarge[i]
-		if f.service == route.Service && f.bestEffort == s.BestEffort && f.size.FitsIn(size) {
-			return true
-		}
-	}
-	return false
+	return p.tooLarge.contain(unplacedSize{route.Service, s.BestEffort, reservedSize(s.Step)})
 }
 
 // acceptsStarts reports whether a worker of the route's service may get starts now.
--- a/internal/coordination/dispatch/room.go
+++ b/internal/coordination/dispatch/room.go
@@ -9,16 +9,26 @@
 
 // reserve takes the size of a run from the free capacity of its worker.
 func (d *Dispatcher) reserve(r *run) {
-	r.worker.used = r.worker.used.Add(r.size)
-	d.updateRoom(r.worker)
+	w := r.worker
+	w.used = w.used.Add(r.size)
+	if r.longRunning() {
+		w.usedLongRunning = w.usedLongRunning.Add(r.size)
+	}
+	d.updateRoom(w)
 }
 
 // release gives back what reserve took.
 func (d *Dispatcher) release(r *run) {
-	r.worker.used = r.worker.used.Sub(r.size)
-	d.updateRoom(r.worker)
+	w := r.worker
+	w.used = w.used.Sub(r.size)
+	if r.longRunning() {
+		w.usedLongRunning = w.usedLongRunning.Sub(r.size)
+	}
+	d.updateRoom(w)
 }
 
+func (r *run) longRunning() bool { return r.task != nil && r.task.step.LongRunning }
+
 // updateRoom records a change of the free capacity of a worker.
 func (d *Dispatcher) updateRoom(w *worker) {
 	if d.room != nil {
--- a/internal/coordination/dispatch/stall.go
+++ b/internal/coordination/dispatch/stall.go
@@ -10,18 +10,16 @@
 	stalledBackoff = 2 * time.Second
 )
 
-// checkStalled stops runs that make no progress. Best-effort tasks are exempt because they may get no CPU, and
-// long-running ones because they have no progress to report.
-func (d *Dispatcher) checkStalled(now time.Time) {
-	for _, w := range d.sortedWorkers {
-		if w.unreachable || w.closedToStarts() {
-			continue
-		}
-		for _, r := range w.orderedRuns {
-			if r.stalled(now) {
-				d.stopRun(r, "stalled")
-				w.health.avoidUntil = now.Add(stalledBackoff)
-			}
+// stopStalled stops the runs of a worker that make no progress according to its newest inventory. Best-effort tasks are
+// exempt because they may get no CPU, and long-running ones because they have no progress to report.
+func (d *Dispatcher) stopStalled(now time.Time, w *worker) {
+	if w.closedToStarts() {
+		return
+	}
+	for _, r := range w.orderedRuns {
+		if r.stalled(now) {
+			d.stopRun(r, "stalled")
+			w.health.avoidUntil = now.Add(stalledBackoff)
 		}
 	}
 }
--- a/internal/coordination/dispatch/urgent.go
+++ b/internal/coordination/dispatch/urgent.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
@@ -38,7 +40,9 @@
 		}
 	}
 	// Workers are reserved only after all tasks were tried: a smaller task may fit where a larger one does not.
-	p.reserveWorkers(unplaced)
+	if len(unplaced) > 0 {
+		p.reserveWorkers(unplaced)
+	}
 }
 
 // placeUrgentTasks places the urgent tasks of a step and returns those that find no room. A gang is placed whole.
@@ -68,13 +72,21 @@
 func (p *pass) reserveWorkers(tasks []*task) {
 	limit := max(minReservedWorkers, int(maxReservedShare*float64(len(p.d.sortedWorkers))))
 	room := make(map[*worker]model.Resources)
+	byFreeCPU := slices.Clone(p.d.sortedWorkers)
+	slices.SortStableFunc(byFreeCPU, func(a, b *worker) int { return cmp.Compare(b.free().CPUMillis, a.free().CPUMillis) })
+	// unreservable are sizes for which there is no worker to reserve, whatever else a task needs.
+	var unreservable unplacedSizes
 	for _, t := range tasks {
 		route, size := p.d.routes[t.owner.Queue], reservedSize(t.step.Step)
 		w := p.reservedWorkerFor(t, room)
-		if w == nil && len(p.reserved) < limit {
-			if w = p.workerToReserve(t, route); w != nil {
-				p.reserved[w] = true
+		if w == nil && len(p.reserved) < limit && !unreservable.contain(unplacedSize{service: route.Service, size: size}) {
+			w = p.workerToReserve(t, route, byFreeCPU)
+			switch {
+			case w != nil:
+				p.reserve(w)
 				room[w] = w.roomForLongRunning()
+			case t.step.Label == "" && t.step.MaxPerWorker == 0:
+				unreservable = append(unreservable, unplacedSize{service: route.Service, size: size})
 			}
 		}
 		if w != nil {
@@ -85,35 +97,31 @@
 
 // reservedWorkerFor returns a reserved worker that will have room for a task beside those that it is reserved for.
 func (p *pass) reservedWorkerFor(t *task, room map[*worker]model.Resources) *worker {
-	for _, w := range p.d.sortedWorkers {
-		if p.reserved[w] && reservedSize(t.step.Step).FitsIn(room[w]) && p.meetsConstraints(t, w) {
+	for _, w := range p.reservedList {
+		if reservedSize(t.step.Step).FitsIn(room[w]) && p.meetsConstraints(t, w) {
 			return w
 		}
 	}
 	return nil
 }
 
-// workerToReserve returns the worker with the most free CPU among those that a task fits on beside the long-running
-// tasks there, or nil.
-func (p *pass) workerToReserve(t *task, route job.Route) *worker {
-	var best *worker
-	for _, w := range p.d.sortedWorkers {
-		if !p.reserved[w] && (best == nil || w.free().CPUMillis > best.free().CPUMillis) &&
-			p.acceptsStarts(w, route) && p.meetsConstraints(t, w) &&
+// reserve keeps a worker free for urgent tasks.
+func (p *pass) reserve(w *worker) {
+	p.reserved[w] = true
+	p.reservedList = append(p.reservedList, w)
+}
+
+// workerToReserve returns the first of the given workers that a task fits on beside the long-running tasks there, or
+// nil.
+func (p *pass) workerToReserve(t *task, route job.Route, workers []*worker) *worker {
+	for _, w := range workers {
+		if !p.reserved[w] && p.acceptsStarts(w, route) && p.meetsConstraints(t, w) &&
 			reservedSize(t.step.Step).FitsIn(w.roomForLongRunning()) {
-			best = w
+			return w
 		}
 	}
-	return best
+	return nil
 }
 
 // roomForLongRunning returns the capacity of a worker that its long-running tasks leave.
-func (w *worker) roomForLongRunning() model.Resources {
-	room := w.Capacity
-	for _, r := range w.orderedRuns {
-		if r.task != nil && r.task.step.LongRunning {
-			room = room.Sub(r.size)
-		}
-	}
-	return room
-}
+func (w *worker) roomForLongRunning() model.Resources { return w.Capacity.Sub(w.usedLongRunning) }
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -87,7 +87,8 @@
 	// known.
 	runs        map[job.Run]*run
 	orderedRuns []*run
-	used        model.Resources
+	// used is what the runs take of the capacity, and usedLongRunning the part of it that long-running tasks take.
+	used, usedLongRunning model.Resources
 	// relay is the entry that carries orders to the worker; empty means the leader itself.
 	relay model.EntryID
 	// avoidedRelay is an entry that did not reach the worker; it is not assigned again before avoidRelayUntil.
