--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -100,6 +100,7 @@
 	count := min(len(c.dirtyJobs), maxCommitJobs-2*len(b.removedJobs))
 	b.jobs = slices.Clone(c.dirtyJobs[:count])
 	c.dirtyJobs = slices.Delete(c.dirtyJobs, 0, count)
+	d.trackLeftOver(now, b.jobs)
 	if len(c.dirtyJobs) == 0 {
 		for _, w := range c.workersWithEnds {
 			w.endsListed = false
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -38,6 +38,8 @@
 	// endedAt is when the final phase was committed.
 	endedAt time.Time
 	dirty   bool
+	// leftOverSince is when a commit first had no room for the job's progress; zero otherwise.
+	leftOverSince time.Time
 	// crashUncommitted is set while a crash that is charged to one of the tasks is not committed.
 	crashUncommitted bool
 	// cancelPending means that a caller is waiting for the cancellation to be committed.
--- a/internal/coordination/dispatch/load.go
+++ b/internal/coordination/dispatch/load.go
@@ -27,12 +27,18 @@
 	RoomForLargest int
 	// FreeCPUMillis is the CPU, in thousandths of a core, that no task reserves on the workers that may get starts.
 	FreeCPUMillis int64
+	// UncommittedJobs are the jobs with progress that no commit covers yet, LongestUncommitted the longest time by which
+	// the commit of one was delayed since the last sample, because others had to be committed first. UnacknowledgedWorkers are the workers that list ends which the
+	// leader has handled but may not acknowledge yet.
+	UncommittedJobs, UnacknowledgedWorkers int
+	LongestUncommitted                     time.Duration
 }
 
 // loadCounters count the work since the last LoadSample.
 type loadCounters struct {
 	sampledAt                               time.Time
 	inventories, starts, candidates, passes int
+	longestUncommitted                      time.Duration
 }
 
 // sampleLoad emits a LoadSample when it is due.
@@ -48,6 +54,7 @@
 	s := LoadSample{
 		Since: since, Inventories: d.load.inventories, Starts: d.load.starts, Candidates: d.load.candidates,
 		Passes: d.load.passes, OpenJobs: len(d.openJobs),
+		UncommittedJobs: len(d.commits.dirtyJobs), LongestUncommitted: d.load.longestUncommitted,
 	}
 	d.load = loadCounters{sampledAt: now}
 	for _, j := range d.openJobs {
@@ -56,6 +63,9 @@
 		}
 	}
 	for _, w := range d.sortedWorkers {
+		if w.lastProcessedEnd > w.lastCommittedEnd {
+			s.UnacknowledgedWorkers++
+		}
 		if !w.open || w.dead || !w.fenced {
 			continue
 		}
@@ -86,6 +96,21 @@
 	}
 }
 
+// trackLeftOver records how long jobs that are committed now were left over by earlier commits.
+func (d *Dispatcher) trackLeftOver(now time.Time, committed []*jobState) {
+	for _, j := range committed {
+		if !j.leftOverSince.IsZero() {
+			d.load.longestUncommitted = max(d.load.longestUncommitted, now.Sub(j.leftOverSince))
+			j.leftOverSince = time.Time{}
+		}
+	}
+	for _, j := range d.commits.dirtyJobs {
+		if j.leftOverSince.IsZero() {
+			j.leftOverSince = now
+		}
+	}
+}
+
 // JobStages says where a completed job spent its time, along its critical path: for each step, the task that ended last.
 type JobStages struct {
 	Job   job.ID
--- a/internal/transport/jobs/load.go
+++ b/internal/transport/jobs/load.go
@@ -40,7 +40,10 @@
 		notice.Attr{Key: "waiting_long_running", Value: s.WaitingLongRunning},
 		notice.Attr{Key: "largest_cpu_millis", Value: s.LargestShort.CPUMillis},
 		notice.Attr{Key: "room_for_largest", Value: s.RoomForLargest},
-		notice.Attr{Key: "free_cpu_millis", Value: s.FreeCPUMillis})
+		notice.Attr{Key: "free_cpu_millis", Value: s.FreeCPUMillis},
+		notice.Attr{Key: "uncommitted_jobs", Value: s.UncommittedJobs},
+		notice.Attr{Key: "longest_uncommitted", Value: s.LongestUncommitted},
+		notice.Attr{Key: "unacknowledged_workers", Value: s.UnacknowledgedWorkers})
 }
 
 func (e *Executor) logOverdue(s dispatch.JobStages) {
