Commit completed jobs first, and acknowledge ends as far as they are covered

Callers saw quick jobs as running long after their last task had ended.

Jobs in a final phase are committed first, then those that were changed first. Ends are acknowledged once all jobs are committed that were changed up to the time at which they were processed. A commit that had no room for all changes is followed by the next one after 10 ms instead of 40 ms.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -15,6 +15,8 @@
 	// meanwhile share the next one. On average, half of the interval is added to the time until a job is shown as
 	// completed.
 	commitInterval = 40 * time.Millisecond
+	// fullCommitInterval applies instead after a commit that had no room for all changes.
+	fullCommitInterval = 10 * time.Millisecond
 	// commitBackoffMin and commitBackoffMax bound the pause after a commit without a definite answer.
 	commitBackoffMin = 50 * time.Millisecond
 	commitBackoffMax = 400 * time.Millisecond
@@ -36,12 +38,23 @@
 	// recordRevision is the revision of the newest commit.
 	recordRevision model.Revision
 	nextID         uint64
-	dirtyJobs      []*jobState
-	// workersWithEnds are the workers with processed ends that no batch covers yet.
-	workersWithEnds []*worker
-	inFlight        *batch
-	nextAt          time.Time
-	backoff         time.Duration
+	// dirtyJobs are the jobs with changes that no batch holds yet, in the order in which they were changed first.
+	dirtyJobs []*jobState
+	// changes counts the jobs that were added to dirtyJobs.
+	changes uint64
+	// uncoveredEnds are processed ends that no batch covers yet, in the order in which they were processed.
+	uncoveredEnds []uncoveredEnds
+	inFlight      *batch
+	nextAt        time.Time
+	backoff       time.Duration
+}
+
+// uncoveredEnds are ends that a worker has listed. They are covered once all jobs are committed that were changed up to
+// the moment at which they were processed, which is when committer.changes was changes.
+type uncoveredEnds struct {
+	worker  *worker
+	ends    processedEnds
+	changes uint64
 }
 
 // processedEnds are the ends up to a sequence number that one boot of a worker has listed.
@@ -67,11 +80,56 @@
 
 func (d *Dispatcher) markDirty(j *jobState) {
 	if !j.dirty {
-		j.dirty = true
+		d.commits.changes++
+		j.dirty, j.changedAt = true, d.commits.changes
 		d.commits.dirtyJobs = append(d.commits.dirtyJobs, j)
 	}
 }
 
+// recordUncovered records that ends of a worker were processed.
+func (d *Dispatcher) recordUncovered(w *worker) {
+	d.commits.uncoveredEnds = append(d.commits.uncoveredEnds, uncoveredEnds{
+		worker: w, ends: processedEnds{w.lastProcessedEnd, w.Boot}, changes: d.commits.changes,
+	})
+}
+
+// takeDirtyJobs removes up to max jobs from dirtyJobs and returns them: first those that have reached a final phase, for
+// which callers wait, then those that were changed first.
+func (c *committer) takeDirtyJobs(max int) []*jobState {
+	if len(c.dirtyJobs) <= max {
+		taken := c.dirtyJobs
+		c.dirtyJobs = nil
+		return taken
+	}
+	isTaken := make(map[*jobState]bool, max)
+	taken := make([]*jobState, 0, max)
+	for _, final := range []bool{true, false} {
+		for _, j := range c.dirtyJobs {
+			if j.phase.Final() == final && len(taken) < max {
+				isTaken[j] = true
+				taken = append(taken, j)
+			}
+		}
+	}
+	c.dirtyJobs = slices.DeleteFunc(c.dirtyJobs, func(j *jobState) bool { return isTaken[j] })
+	return taken
+}
+
+// takeCoveredEnds removes the ends from uncoveredEnds that are covered once the batches up to now are committed, and
+// returns the highest one of each worker.
+func (c *committer) takeCoveredEnds() map[*worker]processedEnds {
+	covered := make(map[*worker]processedEnds)
+	for len(c.uncoveredEnds) > 0 {
+		e := c.uncoveredEnds[0]
+		if len(c.dirtyJobs) > 0 && c.dirtyJobs[0].changedAt <= e.changes {
+			break
+		}
+		covered[e.worker] = e.ends
+		c.uncoveredEnds = c.uncoveredEnds[1:]
+	}
+	return covered
+}
+
 // commit sends the next batch, or sends the last one again if its outcome is unknown.
 func (d *Dispatcher) commit(now time.Time) {
 	c := &d.commits
@@ -87,27 +145,22 @@
 	}
 	c.inFlight.sentAt = now
 	c.nextAt = now.Add(commitInterval)
+	if len(c.dirtyJobs) > 0 {
+		c.nextAt = now.Add(fullCommitInterval)
+	}
 	d.emit(Commit{ID: c.inFlight.id, Transaction: c.inFlight.transaction})
 }
 
 // nextBatch collects what has to be written, and returns nil if there is nothing.
 func (d *Dispatcher) nextBatch(now time.Time) *batch {
 	c := &d.commits
-	b := &batch{processedEnds: make(map[*worker]processedEnds)}
+	b := &batch{}
 	if len(c.dirtyJobs) > 0 || d.registry.dirty {
 		b.removedJobs = d.takeExpiredJobs(now)
 	}
-	count := min(len(c.dirtyJobs), maxCommitJobs-2*len(b.removedJobs))
-	b.jobs = slices.Clone(c.dirtyJobs[:count])
-	c.dirtyJobs = slices.Delete(c.dirtyJobs, 0, count)
+	b.jobs = c.takeDirtyJobs(maxCommitJobs - 2*len(b.removedJobs))
 	d.trackLeftOver(now, b.jobs)
-	if len(c.dirtyJobs) == 0 {
-		for _, w := range c.workersWithEnds {
-			w.endsListed = false
-			b.processedEnds[w] = processedEnds{w.lastProcessedEnd, w.Boot}
-		}
-		c.workersWithEnds = nil
-	}
+	b.processedEnds = c.takeCoveredEnds()
 	if len(b.jobs) == 0 && !d.registry.dirty {
 		// Ends that changed nothing durable need no commit.
 		d.acknowledgeEnds(b)
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -121,15 +121,15 @@
 		d.passNeeded = true
 		d.logEvent(notice.WorkerReachable, Attr{Key: "worker", Value: w.ID})
 	}
+	processed := w.lastProcessedEnd
 	for i := range inv.Ended {
 		if e := &inv.Ended[i]; e.Sequence > w.lastProcessedEnd {
 			w.lastProcessedEnd = e.Sequence
 			d.recordEnd(now, w, e)
 		}
 	}
-	if w.lastProcessedEnd > w.lastCommittedEnd && !w.endsListed {
-		w.endsListed = true
-		d.commits.workersWithEnds = append(d.commits.workersWithEnds, w)
+	if w.lastProcessedEnd > processed {
+		d.recordUncovered(w)
 	}
 	d.reconcileRuns(now, sent, w, inv.Running)
 	d.stopStalled(now, w)
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -38,6 +38,8 @@
 	// endedAt is when the final phase was committed.
 	endedAt time.Time
 	dirty   bool
+	// changedAt is the value of committer.changes when the job became dirty.
+	changedAt uint64
 	// leftOverSince is when a commit first had no room for the job's progress; zero otherwise.
 	leftOverSince time.Time
 	// crashUncommitted is set while a crash that is charged to one of the tasks is not committed.
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -61,8 +61,6 @@
 	// committed, the one that the hold in flight acknowledges, and the highest one that the worker is known to have
 	// got an acknowledgement of.
 	lastProcessedEnd, lastCommittedEnd, sentAcknowledgement, deliveredAcknowledgement int64
-	// endsListed is set while the worker is in the committer's workersWithEnds.
-	endsListed bool
 	// requestedWait is how long the hold in flight lets the worker delay its answer.
 	requestedWait time.Duration
 	// answeredPromptly is set if the last hold was answered so promptly that the worker can't have restarted since it
