--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -321,6 +321,9 @@
 
 // acknowledgeEnds lets the next holds acknowledge the ends whose progress is committed.
 func (d *Dispatcher) acknowledgeEnds(b *batch) {
+	if len(b.processedEnds) > 0 {
+		d.recheckHolds()
+	}
 	for w, ends := range b.processedEnds {
 		if !w.dead && ends.boot == w.Boot {
 			w.lastCommittedEnd = max(w.lastCommittedEnd, ends.sequence)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -69,8 +69,10 @@
 	sortedWorkers []*worker
 	// room holds the free capacity of sortedWorkers; nil while it has to be built anew.
 	room *capacity.Index
-	// withoutHold are the workers that have no hold in flight.
-	withoutHold []*worker
+	// withoutHold are workers that have no hold in flight and may be due for one. laterHolds are the others without a hold:
+	// theirs is not due before nextLaterHold, a commit or the loss of a relay.
+	withoutHold, laterHolds []*worker
+	nextLaterHold           time.Time
 	// registered are the workers named in the store's registry. A dead worker is removed once the registry no longer
 	// names it.
 	registered map[model.WorkerID]bool
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -14,19 +14,34 @@
 	if !d.relaysSettled(now) {
 		return
 	}
-	waiting := d.withoutHold[:0]
+	if len(d.laterHolds) > 0 && !now.Before(d.nextLaterHold) {
+		d.recheckHolds()
+	}
 	for _, w := range d.withoutHold {
+		due := w.nextHold
+		if w.lastProcessedEnd > w.lastCommittedEnd && w.answeredAt.Add(holdIntervalUncommitted).After(due) {
+			due = w.answeredAt.Add(holdIntervalUncommitted)
+		}
 		switch {
 		case w.dead:
-		case now.Before(w.nextHold),
-			w.lastProcessedEnd > w.lastCommittedEnd && now.Sub(w.answeredAt) < holdIntervalUncommitted:
-			waiting = append(waiting, w)
+		case now.Before(due):
+			if len(d.laterHolds) == 0 || due.Before(d.nextLaterHold) {
+				d.nextLaterHold = due
+			}
+			d.laterHolds = append(d.laterHolds, w)
 		default:
 			d.sendHold(now, w)
 		}
 	}
-	clear(d.withoutHold[len(waiting):])
-	d.withoutHold = waiting
+	clear(d.withoutHold)
+	d.withoutHold = d.withoutHold[:0]
+}
+
+// recheckHolds makes sendDueHolds look again at workers whose hold was not due.
+func (d *Dispatcher) recheckHolds() {
+	d.withoutHold = append(d.withoutHold, d.laterHolds...)
+	clear(d.laterHolds)
+	d.laterHolds = d.laterHolds[:0]
 }
 
 func (d *Dispatcher) sendHold(now time.Time, w *worker) {
--- a/internal/coordination/dispatch/relay.go
+++ b/internal/coordination/dispatch/relay.go
@@ -72,6 +72,7 @@
 		}
 	}
 	d.relays.changed = true
+	d.recheckHolds()
 }
 
 // avoidRelay reaches a worker in another way after its relay got no response. The relay may be cut off from the worker
@@ -83,6 +84,7 @@
 	w.avoidedRelay, w.avoidRelayUntil = w.relay, now.Add(relayAvoidTime)
 	w.relay, w.nextHold = "", now
 	d.relays.changed = true
+	d.recheckHolds()
 }
 
 // NeedsRelays reports whether the fleet is larger than the leader can serve itself.
