Weigh new reports more instead of reducing all sums with each of them

Each report of a serving task multiplied the sums of all pairs of images, 900 for 30 best-effort images, once or twice. The sums now keep a common factor, which the fit takes out every 500 ms.

--- a/internal/coordination/dispatch/interference.go
+++ b/internal/coordination/dispatch/interference.go
@@ -75,9 +75,11 @@
 type slopeFit struct {
 	// columns maps each best-effort image to its column.
 	columns map[string]int
-	// squares and products are the weighted sums of the normal equations.
+	// squares and products are the weighted sums of the normal equations, times growth: instead of reducing all sums with
+	// each report, a new one gets more weight.
 	squares  [][]float64
 	products []float64
+	growth   float64
 	// slopes is the solution, and stdErrors its standard errors.
 	slopes, stdErrors []float64
 	// pairs repeats the solution by the number of the best-effort image, for lookups without a search.
@@ -92,7 +94,7 @@
 func (p pairSlope) cautious() float64 { return p.slope + slopeErrorFactor*p.stdError }
 
 func newSlopeFit() *slopeFit {
-	return &slopeFit{columns: make(map[string]int), images: make(imageNumbers)}
+	return &slopeFit{columns: make(map[string]int), images: make(imageNumbers), growth: 1}
 }
 
 // pair returns the slope for the best-effort image with a number. The fit may be nil: nothing is known then.
@@ -165,26 +167,34 @@
 // add adds an observation: the headroom that was lost, the variance of its error, and the CPU share of each
 // best-effort image.
 func (f *slopeFit) add(loss, variance float64, shares imageShares) {
-	for i := range f.squares {
-		for j := range f.squares[i] {
-			f.squares[i][j] *= reportDecay
-		}
-		f.products[i] *= reportDecay
-	}
+	f.growth /= reportDecay
+	weight := f.growth / variance
 	columns := make([]int, len(shares))
 	for i, s := range shares {
 		columns[i] = f.column(s.image)
 	}
 	for i, a := range shares {
 		for j, b := range shares {
-			f.squares[columns[i]][columns[j]] += a.share * b.share / variance
+			f.squares[columns[i]][columns[j]] += a.share * b.share * weight
+		}
+		f.products[columns[i]] += a.share * loss * weight
+	}
+}
+
+// normalise reduces the sums so that growth becomes 1.
+func (f *slopeFit) normalise() {
+	for i := range f.squares {
+		for j := range f.squares[i] {
+			f.squares[i][j] /= f.growth
 		}
-		f.products[columns[i]] += a.share * loss / variance
+		f.products[i] /= f.growth
 	}
+	f.growth = 1
 }
 
 // fit solves the normal equations. If they can't be solved, the slopes stay as they are.
 func (f *slopeFit) fit() {
+	f.normalise()
 	n := len(f.products)
 	if n == 0 {
 		return
