--- /dev/null
+++ b/internal/coordination/dispatch/foreignentry_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
+	"github.com/jujubearch/jujubearch/internal/state/model"
+	"github.com/jujubearch/jujubearch/internal/state/notice"
+)
+
+// foreignEntry returns an entry that another writer may leave in the list: of a later boot at an address.
+func foreignEntry(id model.WorkerID, address string) job.Worker {
+	return job.Worker{
+		ID: id, Address: address, Service: "s", Boot: math.MaxInt64,
+		Capacity: model.Resources{CPUMillis: 8000, MemoryBytes: 64 << 30},
+	}
+}
+
+// runningJob returns a simulation of two workers that run a job for another 3 s.
+func runningJob(t *testing.T) *simulation {
+	t.Helper()
+	sim := newSimulation(1, 2)
+	for _, s := range sim.workers {
+		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, 4 * time.Second }
+	}
+	sim.advanceTime(time.Second)
+	sim.submit(plainJob("a", 12))
+	sim.advanceTime(time.Second)
+	assert.Equal(t, len(sim.workers["w00"].runs)+len(sim.workers["w01"].runs), 12)
+	return sim
+}
+
+// checkNothingLost checks that the job completes with its first runs, and that no worker counts as gone or crashed.
+func (sim *simulation) checkNothingLost(t *testing.T) {
+	t.Helper()
+	sim.advanceTime(4 * time.Second)
+	assert.Equal(t, sim.phase("a"), job.Completed)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	for _, e := range sim.logEvents {
+		assert.Assert(t, e.Code != notice.RunLost && e.Code != notice.WorkerRestarted, "%v", e)
+		if e.Code == notice.WorkerGone {
+			assert.Equal(t, e.Attrs[0].Value, model.WorkerID("foreign"))
+		}
+	}
+	sim.submit(plainJob("later", 16))
+	sim.advanceTime(500 * time.Millisecond)
+	for id, s := range sim.workers {
+		assert.Equal(t, len(s.runs), 8, "%s gets no more starts", id)
+	}
+}
+
+// Guards against a living worker that is taken for gone because the list names a later boot at its address.
+func TestForeignEntryAtTheAddressOfAWorkerLosesNoWork(t *testing.T) {
+	sim := runningJob(t)
+	sim.foreignEntries = []job.Worker{foreignEntry("foreign", sim.workers["w00"].address)}
+	sim.checkNothingLost(t)
+}
+
+// Guards against a living worker that is taken for restarted because its entry was overwritten with a later boot, and
+// against missing its restart later on.
+func TestForeignBootOfAWorkerLosesNoWork(t *testing.T) {
+	sim := runningJob(t)
+	s := sim.workers["w00"]
+	sim.foreignEntries = []job.Worker{foreignEntry("w00", s.address)}
+	sim.advanceTime(2 * time.Second)
+	sim.foreignEntries = nil
+	sim.checkNothingLost(t)
+	sim.advanceTime(6 * time.Second)
+	sim.submit(plainJob("b", 12))
+	sim.advanceTime(time.Second)
+	sim.restart(s)
+	sim.advanceTime(9 * time.Second)
+	assert.Equal(t, sim.phase("b"), job.Completed)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	for _, w := range sim.workers {
+		assert.Equal(t, len(w.endedRuns), 0, "ends that were never acknowledged")
+	}
+}
+
+// Guards against tasks that run twice because the entry of a worker was overwritten with the address of another one,
+// which truly says that it is not the worker.
+func TestForeignAddressOfAWorkerLosesNoWork(t *testing.T) {
+	sim := runningJob(t)
+	sim.foreignEntries = []job.Worker{foreignEntry("w00", sim.workers["w01"].address)}
+	sim.advanceTime(2 * time.Second)
+	sim.foreignEntries = nil
+	sim.checkNothingLost(t)
+}
+
+// Guards against a successor that waits for all leases to expire because the list names a worker that does not exist.
+func TestForeignEntryDoesNotDelayASuccessor(t *testing.T) {
+	sim := newSimulation(1, 2)
+	sim.foreignEntries = []job.Worker{foreignEntry("foreign", "nowhere")}
+	sim.advanceTime(2 * time.Second)
+	sim.submit(plainJob("a", 30))
+	sim.electLeader(0)
+	sim.advanceTime(3 * time.Second)
+	assert.Equal(t, sim.phase("a"), job.Completed)
+}
+
+// Guards against an entry at the address of a living worker that is added and given up again and again, with a commit of
+// the registry each time.
+func TestForeignEntryCausesFewCommits(t *testing.T) {
+	sim := newSimulation(1, 2)
+	sim.advanceTime(time.Second)
+	sim.foreignEntries = []job.Worker{foreignEntry("foreign", sim.workers["w00"].address)}
+	before := sim.registryWrites
+	sim.advanceTime(8 * time.Second)
+	assert.Assert(t, sim.registryWrites-before <= 2, "%d commits", sim.registryWrites-before)
+}
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -109,7 +109,7 @@
 }
 
 func (sim *simulation) receiveHold(d *Dispatcher, h Hold) {
-	s := sim.workers[h.Worker]
+	s, another := sim.listener(h.Target)
 	sent := sim.now
 	finish := func(inv job.Inventory, a job.OrderResponse) {
 		if d == sim.leader {
@@ -117,6 +117,10 @@
 			sim.advance(d)
 		}
 	}
+	if another {
+		sim.after(10*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Refusal: job.RefusedBoot}) })
+		return
+	}
 	if s == nil || s.unreachable || sim.withProbability(sim.faults.lost) {
 		sim.after(h.Wait+500*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Err: errNoResponse}) })
 		return
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -37,6 +37,9 @@
 	// advise answers advice requests, which are recorded in adviceRequests.
 	advise         func(RequestAdvice) (map[model.WorkerID]job.Permit, error)
 	adviceRequests []RequestAdvice
+	// foreignEntries are listed beside the workers, or instead of the entry of the worker with the same id.
+	foreignEntries []job.Worker
+	registryWrites int
 	// emulateLoad, if set, lets a step of time pass on a worker.
 	emulateLoad func(s *simWorker, step time.Duration)
 }
@@ -126,6 +129,10 @@
 			Labels: []string{"kind", "rack-" + string(s.id[1])}, Rack: "rack-" + string(s.id[1]),
 		})
 	}
+	for _, foreign := range sim.foreignEntries {
+		list = slices.DeleteFunc(list, func(w job.Worker) bool { return w.ID == foreign.ID })
+		list = append(list, foreign)
+	}
 	sim.leader.UpdateWorkers(sim.now, list)
 }
 
@@ -260,11 +267,25 @@
 
 var errNoResponse = verdict.MayHaveRunError("no answer", nil)
 
+// listener returns the worker that an order reaches, or nil, and whether another worker listens at its address. Of
+// workers at one address, the one that started last listens.
+func (sim *simulation) listener(t Target) (s *simWorker, another bool) {
+	for _, w := range sim.sortedWorkers() {
+		if w.address == t.Address && (s == nil || w.boot > s.boot) {
+			s = w
+		}
+	}
+	if s == nil || s.id == t.Worker {
+		return s, false
+	}
+	return s, !s.unreachable
+}
+
 // sendOrder delivers an order. It may be lost, answered too late, or carried out seconds later without an answer.
 func (sim *simulation) sendOrder(
 	d *Dispatcher, t Target, apply func(*simWorker) job.OrderResponse, answer func(job.OrderResponse),
 ) {
-	s := sim.workers[t.Worker]
+	s, another := sim.listener(t)
 	finish := func(a job.OrderResponse) {
 		if d == sim.leader {
 			answer(a)
@@ -273,6 +294,8 @@
 	}
 	timeout := func() { sim.after(400*time.Millisecond, func() { finish(job.OrderResponse{Err: errNoResponse}) }) }
 	switch {
+	case another:
+		sim.after(10*time.Millisecond, func() { finish(job.OrderResponse{Refusal: job.RefusedBoot}) })
 	case s == nil || s.unreachable || sim.withProbability(sim.faults.lost):
 		timeout()
 	case sim.withProbability(sim.faults.late):
@@ -307,6 +330,7 @@
 				sim.store.commitRecord = job.Record{Key: job.KeyCommit, Revision: sim.store.revision, Value: v}
 			case *job.Registry:
 				sim.store.registry = v.Workers
+				sim.registryWrites++
 			case *job.Interference:
 				sim.store.slopes = v
 			case *job.Progress:
