Take only a worker's own word for its boot, and only from where it is

Another writer could make the leader give up living workers, or start their tasks twice: a later boot in the list, at the address of a worker or under its id, was proof that the worker had gone or restarted, and a refusal by another boot was proof wherever the order had been sent.

The boot of a worker is the one that its own inventories name, and its address the one at which it has answered. A later boot in the list keeps starts away until the worker has answered, and delays the release of its runs if it does not; it releases and charges nothing. A worker that answers is reached where it answers, whatever the list says, and a refusal by another boot counts only from there. Responses of a worker that was unreachable no longer count as its life sign: they may be those of a later boot, and hid quick crashes.

TestForeignEntryAtTheAddressOfAWorkerLosesNoWork, TestForeignBootOfAWorkerLosesNoWork and TestForeignAddressOfAWorkerLosesNoWork failed before (a job not completed, a false restart, a task started twice) and pass now.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -89,7 +89,7 @@
 // recordUncovered records that ends of a worker were processed.
 func (d *Dispatcher) recordUncovered(w *worker) {
 	d.commits.uncoveredEnds = append(d.commits.uncoveredEnds, uncoveredEnds{
-		worker: w, ends: processedEnds{w.lastProcessedEnd, w.Boot}, changes: d.commits.changes,
+		worker: w, ends: processedEnds{w.lastProcessedEnd, w.boot}, changes: d.commits.changes,
 	})
 }
 
@@ -325,7 +325,7 @@
 		d.recheckHolds()
 	}
 	for w, ends := range b.processedEnds {
-		if !w.dead && ends.boot == w.Boot {
+		if !w.dead && ends.boot == w.boot {
 			w.lastCommittedEnd = max(w.lastCommittedEnd, ends.sequence)
 		}
 	}
--- a/internal/coordination/dispatch/crash.go
+++ b/internal/coordination/dispatch/crash.go
@@ -32,14 +32,13 @@
 
 // Proofs that a worker has crashed: another process has taken its place without a drain.
 const (
-	proofAnotherBoot   = "another-boot"
-	proofAddressReused = "address-reused"
-	proofRestarted     = "restarted"
+	proofAnotherBoot = "another-boot"
+	proofRestarted   = "restarted"
 )
 
 // provesCrash reports whether a worker that is gone has crashed.
 func (w *worker) provesCrash(proof string) bool {
-	return !w.Draining && (proof == proofAnotherBoot || proof == proofAddressReused || proof == proofRestarted)
+	return !w.Draining && (proof == proofAnotherBoot || proof == proofRestarted)
 }
 
 // recordCrash charges the crash of a worker to the tasks that may have caused it.
@@ -90,9 +89,10 @@
 	}
 }
 
-// hear records that a worker, if it is known, has responded.
+// hear records that a worker, if it is known, has responded. The response of one that was unreachable, or has restarted
+// according to the list, may be that of a later boot under its id.
 func (w *worker) hear(now time.Time, response job.OrderResponse) {
-	if w != nil && response.Err == nil && response.Refusal != job.RefusedBoot {
+	if w != nil && !w.unreachable && w.claimedAt.IsZero() && response.Err == nil && response.Refusal != job.RefusedBoot {
 		w.heardAt = now
 	}
 }
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -60,6 +60,7 @@
 		}
 	}
 	w.holdInFlight, w.sentAcknowledgement, w.requestedWait = true, h.Acknowledged, h.Wait
+	w.holdAddress = h.Address
 	h.DecidedAt = now
 	d.emit(h)
 }
@@ -102,8 +103,8 @@
 	case response.Refusal == job.RefusedEpoch:
 		d.emit(Deposed{Reason: "worker " + string(id) + " is fenced by a newer epoch"})
 	case response.Refusal == job.RefusedBoot:
-		d.markDead(now, w, proofAnotherBoot)
-	case response.NoListener && w.Draining && !w.listed:
+		d.refusedByAnotherBoot(now, w, w.holdAddress)
+	case response.NoListener && w.Draining && !w.listed && w.isKnownAt(w.holdAddress):
 		d.markDead(now, w, "left")
 	case response.Err != nil && response.FromRelay:
 		d.avoidRelay(now, w)
@@ -117,12 +118,16 @@
 
 func (d *Dispatcher) applyInventory(now, sent time.Time, w *worker, inv job.Inventory) {
 	d.load.inventories++
-	if w.Boot != 0 && inv.Boot > w.Boot {
+	if w.boot != 0 && inv.Boot > w.boot {
 		d.workerRestarted(now, w, inv.Boot)
 	} else {
 		w.deliveredAcknowledgement = max(w.deliveredAcknowledgement, w.sentAcknowledgement)
 	}
-	w.Boot = max(w.Boot, inv.Boot)
+	w.boot = max(w.boot, inv.Boot)
+	w.knownAddress = w.holdAddress
+	if sent.After(w.claimedAt) {
+		w.claimedAt = time.Time{}
+	}
 	w.clock, w.clockAt, w.answeredAt, w.heardAt = inv.Clock, now, now, now
 	if !inv.Unmeasured {
 		w.forecast = nil
@@ -151,7 +156,7 @@
 	if !w.fenced {
 		// An earlier leader may have renewed the leases up to the moment at which the worker was fenced.
 		w.leaseEnd = max(w.leaseEnd, inv.Clock+d.settings.MaxLease)
-		w.fenced, w.restartedAt = true, time.Time{}
+		w.fenced = true
 		d.passNeeded = true
 		d.logEvent(notice.WorkerFirstResponse, Attr{Key: "worker", Value: w.ID}, Attr{Key: "epoch", Value: d.epoch},
 			Attr{Key: "runs", Value: len(inv.Running)}, Attr{Key: "ends", Value: len(inv.Ended)})
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -50,6 +50,8 @@
 	retryListed bool
 	// startsSent counts the copies of the start order that were sent. A route's attempts, in contrast, are failed runs.
 	startsSent int
+	// sentTo is the address to which the last start or stop was sent.
+	sentTo string
 	// stopConfirmed is set once the worker has accepted the stop.
 	stopConfirmed bool
 	// lastReport is the number of the last inventory that listed the run, as counted in worker.inventories.
@@ -120,6 +122,7 @@
 func (d *Dispatcher) sendStart(now time.Time, r *run) {
 	r.startsSent++
 	r.retryAt = time.Time{}
+	r.sentTo = r.worker.contactAddress()
 	permit, _ := r.task.step.permitFor(now, r.worker)
 	d.emit(Start{
 		Target: d.targetOf(r.worker), Run: r.Run, Payload: r.task.owner.Payload,
@@ -156,8 +159,7 @@
 		}
 	case response.Refusal == job.RefusedEpoch:
 		d.emit(Deposed{Reason: "worker " + string(id) + " refused a start under this epoch"})
-	case response.Refusal == job.RefusedBoot:
-		d.markDead(now, w, proofAnotherBoot)
+	case response.Refusal == job.RefusedBoot && d.refusedByAnotherBoot(now, w, r.sentTo):
 	case response.Refusal == job.RefusedOldRun:
 		// The run was on the worker and has ended. Either its end is listed or the next inventory proves it gone.
 		r.phase, r.confirmedAt = running, now
@@ -213,6 +215,7 @@
 
 func (d *Dispatcher) sendStop(r *run) {
 	r.retryAt = time.Time{}
+	r.sentTo = r.worker.contactAddress()
 	d.emit(Stop{Target: d.targetOf(r.worker), Run: r.Run})
 }
 
@@ -226,8 +229,7 @@
 	switch {
 	case response.Refusal == job.RefusedEpoch:
 		d.emit(Deposed{Reason: "worker " + string(id) + " refused a stop under this epoch"})
-	case response.Refusal == job.RefusedBoot:
-		d.markDead(now, w, proofAnotherBoot)
+	case response.Refusal == job.RefusedBoot && d.refusedByAnotherBoot(now, w, r.sentTo):
 	case response.Err != nil || response.Refusal != job.RefusedNone:
 		r.retryAt = now.Add(orderRetryInterval)
 		d.listRetry(r)
--- a/internal/coordination/dispatch/permit.go
+++ b/internal/coordination/dispatch/permit.go
@@ -45,13 +45,13 @@
 	boot   job.BootID
 }
 
-func (w *worker) workerBoot() workerBoot { return workerBoot{w.ID, w.Boot} }
+func (w *worker) workerBoot() workerBoot { return workerBoot{w.ID, w.boot} }
 
 // permitFor returns the permit of a step for a worker, or false if there is none that is valid for at least
 // minPermitValidity.
 func (s *step) permitFor(now time.Time, w *worker) (job.Permit, bool) {
 	g, known := s.permits.granted[w.ID]
-	if !known || g.boot != w.Boot || !now.Add(minPermitValidity).Before(g.validUntil) {
+	if !known || g.boot != w.boot || !now.Add(minPermitValidity).Before(g.validUntil) {
 		return "", false
 	}
 	return g.permit, true
@@ -82,7 +82,7 @@
 	request := RequestAdvice{Epoch: p.d.epoch, Step: job.StepOf(t.Task), ServiceTime: route.Advice.BaseServiceTime}
 	for _, c := range candidates[:min(len(candidates), maxAdviceWorkers)] {
 		request.Workers = append(request.Workers, c.worker.ID)
-		request.boots = append(request.boots, c.worker.Boot)
+		request.boots = append(request.boots, c.worker.boot)
 		request.ServiceTime += route.Advice.ServiceTimePerWorker
 	}
 	request.permitLifetime = route.Advice.PermitLifetime
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -49,6 +49,7 @@
 	}
 	for _, r := range state.Registry {
 		w := d.addWorker(r.ID, r.Address)
+		w.knownAddress = r.Address
 		d.registered[r.ID] = true
 		w.inheritedEntry, w.storedOpen = &r, !r.NoMoreStarts
 		if !r.NoMoreStarts {
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -39,7 +39,16 @@
 
 // worker is the state of a worker. It is reset in part when the worker restarts under its id.
 type worker struct {
+	// Worker is what the list says. Others may write to the list: what it says of the boot and the address proves nothing.
 	job.Worker
+	// boot is the boot that the worker itself has named; 0 before its first answer.
+	boot job.BootID
+	// knownAddress is where it has answered, or where an earlier leader knew it; empty before. holdAddress is where the last
+	// hold was sent.
+	knownAddress, holdAddress string
+	// claimedBoot is a later boot that the list has named, at claimedAt; claimedAt is zero once the worker has answered since.
+	claimedBoot job.BootID
+	claimedAt   time.Time
 	// index is the place of the worker in sortedWorkers while the dispatcher's room is built.
 	index int
 	// listed is set while the platform's VM list names the worker.
@@ -71,8 +80,6 @@
 	clockAt time.Time
 	// leaseEnd is the latest lease end that this or an earlier leader can have requested, on the worker's clock.
 	leaseEnd time.Duration
-	// restartedAt is when a restart under the same id was noticed; zero once the worker has answered.
-	restartedAt time.Time
 	// answeredAt is when the last answer to a hold arrived.
 	answeredAt time.Time
 	// heardAt is when the last response of any kind arrived.
@@ -121,18 +128,39 @@
 }
 
 func (d *Dispatcher) targetOf(w *worker) Target {
-	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch, Relay: w.relay}
+	return Target{Worker: w.ID, Address: w.contactAddress(), Epoch: d.epoch, Relay: w.relay}
+}
+
+// contactAddress returns where to reach a worker: where it answers, whatever the list says, and otherwise where it is
+// listed.
+func (w *worker) contactAddress() string {
+	if w.fenced && !w.unreachable && w.knownAddress != "" {
+		return w.knownAddress
+	}
+	return w.Address
+}
+
+// isKnownAt reports whether a response from an address tells something about the worker. Where the worker has never been,
+// another one has no word on it.
+func (w *worker) isKnownAt(address string) bool {
+	return w.knownAddress == "" || w.knownAddress == address
+}
+
+// refusedByAnotherBoot handles the response of another boot at an address, and reports whether it proves that the worker is
+// gone.
+func (d *Dispatcher) refusedByAnotherBoot(now time.Time, w *worker, address string) bool {
+	if !w.isKnownAt(address) {
+		return false
+	}
+	d.markDead(now, w, proofAnotherBoot)
+	return true
 }
 
 // UpdateWorkers applies the platform's VM list.
 func (d *Dispatcher) UpdateWorkers(now time.Time, list []job.Worker) {
 	named := make(map[model.WorkerID]bool, len(list))
-	newest := make(map[string]*job.Worker, len(list))
 	for i := range list {
 		named[list[i].ID] = true
-		if other := newest[list[i].Address]; other == nil || list[i].Boot > other.Boot {
-			newest[list[i].Address] = &list[i]
-		}
 		d.updateListedWorker(now, list[i])
 	}
 	for _, w := range d.sortedWorkers {
@@ -140,12 +168,6 @@
 			w.listed = false
 			d.updateOpen(w)
 		}
-		// A worker with a later boot at the same address proves that the previous one is gone. The list may still
-		// name both.
-		if successor := newest[w.Address]; successor != nil && successor.ID != w.ID && w.Boot != 0 &&
-			successor.Boot > w.Boot && !w.dead {
-			d.markDead(now, w, proofAddressReused)
-		}
 	}
 	d.passNeeded = true
 }
@@ -163,8 +185,8 @@
 	if w.dead {
 		return
 	}
-	if w.Boot != 0 && info.Boot > w.Boot {
-		d.workerRestarted(now, w, info.Boot)
+	if w.boot != 0 && info.Boot > w.boot && info.Boot != w.claimedBoot {
+		w.claimedBoot, w.claimedAt = info.Boot, now
 	}
 	if info.Draining && !w.Draining {
 		d.logEvent(notice.WorkerDraining, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)})
@@ -172,9 +194,7 @@
 	if info.DataCentre != w.DataCentre {
 		w.relay, d.relays.changed = "", true
 	}
-	boot := max(w.Boot, info.Boot)
 	w.Worker, w.listed = info, true
-	w.Boot = boot
 	d.updateRoom(w)
 	d.updateOpen(w)
 }
@@ -198,6 +218,9 @@
 		return *w.inheritedEntry
 	}
 	r := job.RegisteredWorker{ID: w.ID, Address: w.Address, Boot: w.Boot, NoMoreStarts: w.closedToStarts()}
+	if w.boot != 0 {
+		r.Address, r.Boot = w.knownAddress, w.boot
+	}
 	if r.NoMoreStarts {
 		for _, run := range w.orderedRuns {
 			r.Runs = append(r.Runs, run.Task)
@@ -227,15 +250,15 @@
 	}
 }
 
-// workerRestarted resets the state of a worker that was restarted under its id. Its runs are kept until its first
-// inventory, because the new process may have carried out an order that was in flight.
+// workerRestarted resets the state of a worker that was restarted under its id, as its own inventory says. The inventory
+// shows which runs it has: the new process may have carried out an order that was in flight.
 func (d *Dispatcher) workerRestarted(now time.Time, w *worker, boot job.BootID) {
 	d.logEvent(notice.WorkerRestarted, Attr{Key: "worker", Value: w.ID}, Attr{Key: "boot", Value: boot},
 		Attr{Key: "runs", Value: len(w.orderedRuns)})
 	d.recordCrash(w, proofRestarted)
-	w.Boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
+	w.boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
 		w.leaseEnd, w.clock = boot, 0, 0, 0, 0, 0, 0
-	w.fenced, w.answeredPromptly, w.restartedAt, w.clockAt = false, false, now, now
+	w.fenced, w.answeredPromptly, w.clockAt = false, false, now
 }
 
 // markDead records that nothing can run on a worker any more, and releases its runs.
@@ -265,8 +288,6 @@
 			if !d.registered[w.ID] {
 				d.removeWorker(w)
 			}
-		case !w.fenced && !w.restartedAt.IsZero():
-			d.checkRestarted(now, w)
 		case !w.fenced:
 			d.checkUnfenced(now, w)
 		case w.drained():
@@ -276,18 +297,24 @@
 			d.updateOpen(w)
 			d.logEvent(notice.WorkerUnreachable, Attr{Key: "worker", Value: w.ID},
 				Attr{Key: "age", Value: now.Sub(w.answeredAt)})
-		case w.unreachable && now.After(w.leasesExpiredBy()):
+		case w.unreachable && now.After(d.runsEndedBy(w)):
 			d.expireLeases(now, w)
 		}
 	}
 }
 
-// checkRestarted releases the runs of a restarted worker that does not answer.
-func (d *Dispatcher) checkRestarted(now time.Time, w *worker) {
+// runsEndedBy returns when every run on an unreachable worker has certainly ended. A worker that may have restarted, as the
+// list says, may have carried out an order for its former boot, with a lease that ends later on its new clock.
+func (d *Dispatcher) runsEndedBy(w *worker) time.Time {
+	ended := w.leasesExpiredBy()
+	if w.claimedAt.IsZero() {
+		return ended
+	}
 	lease := time.Duration(float64(d.settings.MaxLease)*(1+clockSkew)) + leaseExpiryMargin
-	if now.Sub(w.restartedAt) > max(lease, maxOrderDelay) {
-		d.expireLeases(now, w)
+	if restarted := w.claimedAt.Add(max(lease, maxOrderDelay)); restarted.After(ended) {
+		return restarted
 	}
+	return ended
 }
 
 // drained reports whether a worker that is leaving runs nothing and has got the acknowledgements of all its ends.
