Register a worker once it has answered

An entry of the list at whose address nobody listens made each new leader wait until all leases of its predecessors had expired, 6 to 12 s, before it started tasks of older jobs: the registry named the worker as one that may run something. The registry now names a worker from its first answer on, before it gets its first start. A worker that is accounted for without having answered is dropped from it and has to be registered again.

TestForeignEntryDoesNotDelayASuccessor failed before (a job not completed 3 s after the change of leader) and passes now. TestWorkerIsRegisteredBeforeItsFirstStart fails if the dropped worker keeps its permission for starts, which was tried.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -184,6 +184,10 @@
 		d.registry.dirty = false
 		registry := &job.Registry{}
 		for _, w := range d.sortedWorkers {
+			if !w.mayRunSomething() {
+				w.storedOpen = false
+				continue
+			}
 			if !w.dead {
 				entry := w.registryEntry()
 				w.storedOpen = w.storedOpen && !entry.NoMoreStarts
--- a/internal/coordination/dispatch/foreignentry_test.go
+++ b/internal/coordination/dispatch/foreignentry_test.go
@@ -112,3 +112,31 @@
 	sim.advanceTime(8 * time.Second)
 	assert.Assert(t, sim.registryWrites-before <= 2, "%d commits", sim.registryWrites-before)
 }
+
+// Guards against starts on a worker that the registry does not name: a successor would not wait for it. Here the worker
+// was dropped from the registry because it did not answer until all leases of the former leader had expired.
+func TestWorkerIsRegisteredBeforeItsFirstStart(t *testing.T) {
+	sim := newSimulation(1, 2)
+	sim.advanceTime(time.Second)
+	s := sim.workers["w00"]
+	isOpen := func() bool {
+		for _, r := range sim.store.registry {
+			if r.ID == s.id {
+				return !r.NoMoreStarts
+			}
+		}
+		return false
+	}
+	assert.Assert(t, isOpen())
+	s.unreachable = true
+	sim.electLeader(6 * time.Second)
+	sim.advanceTime(20 * time.Second)
+	assert.Assert(t, !isOpen(), "nothing can run there")
+	s.unreachable = false
+	sim.submit(plainJob("a", 100))
+	for range 300 {
+		sim.advanceTime(10 * time.Millisecond)
+		assert.Assert(t, len(s.runs) == 0 || isOpen(), "started before it was registered")
+	}
+	assert.Assert(t, len(s.runs) > 0, "it gets no starts")
+}
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -157,6 +157,7 @@
 		// An earlier leader may have renewed the leases up to the moment at which the worker was fenced.
 		w.leaseEnd = max(w.leaseEnd, inv.Clock+d.settings.MaxLease)
 		w.fenced = true
+		d.updateOpen(w)
 		d.passNeeded = true
 		d.logEvent(notice.WorkerFirstResponse, Attr{Key: "worker", Value: w.ID}, Attr{Key: "epoch", Value: d.epoch},
 			Attr{Key: "runs", Value: len(inv.Running)}, Attr{Key: "ends", Value: len(inv.Ended)})
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -180,7 +180,6 @@
 			return
 		}
 		w = d.addWorker(info.ID, info.Address)
-		d.registry.dirty = true
 	}
 	if w.dead {
 		return
@@ -200,7 +199,13 @@
 }
 
 // closedToStarts reports whether a worker must not get starts.
-func (w *worker) closedToStarts() bool { return w.Draining || !w.listed || w.unreachable }
+func (w *worker) closedToStarts() bool {
+	return w.Draining || !w.listed || w.unreachable || !w.mayRunSomething()
+}
+
+// mayRunSomething reports whether this leader or an earlier one can have started something on a worker. Before its first
+// answer it can't: an entry of the list alone may come from another writer.
+func (w *worker) mayRunSomething() bool { return w.inheritedEntry != nil || w.boot != 0 }
 
 // updateOpen closes a worker at once, but opens it only if the stored registry has it as open. If the stored entry
 // differs, the registry is written.
@@ -217,10 +222,7 @@
 	if w.inheritedEntry != nil {
 		return *w.inheritedEntry
 	}
-	r := job.RegisteredWorker{ID: w.ID, Address: w.Address, Boot: w.Boot, NoMoreStarts: w.closedToStarts()}
-	if w.boot != 0 {
-		r.Address, r.Boot = w.knownAddress, w.boot
-	}
+	r := job.RegisteredWorker{ID: w.ID, Address: w.knownAddress, Boot: w.boot, NoMoreStarts: w.closedToStarts()}
 	if r.NoMoreStarts {
 		for _, run := range w.orderedRuns {
 			r.Runs = append(r.Runs, run.Task)
