Ignore for a while entries of the list that were refuted

An entry at the address of a living worker was added, refused by the worker and given up each time the list was read, five times a second, with a commit of the whole registry each time. An entry whose worker has never answered and at whose address another worker answers is now ignored for 10 s unless it changes, and giving up a worker that can't run anything writes no registry.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -73,6 +73,8 @@
 	// theirs is not due before nextLaterHold, a commit or the loss of a relay.
 	withoutHold, laterHolds []*worker
 	nextLaterHold           time.Time
+	// refuted are entries of the list at whose address another worker has answered.
+	refuted map[model.WorkerID]refutedEntry
 	// registered are the workers named in the store's registry. A dead worker is removed once the registry no longer
 	// names it.
 	registered map[model.WorkerID]bool
@@ -114,6 +116,7 @@
 		settings: settings, epoch: epoch, lastRun: job.RunNumber(epoch) << runBits,
 		routes: make(map[job.Queue]job.Route), jobs: make(map[job.ID]*jobState),
 		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
+		refuted:     make(map[model.WorkerID]refutedEntry),
 		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
 		relays: relays{offered: make(map[model.EntryID]*relayState)},
 	}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -152,6 +153,9 @@
 	if !w.isKnownAt(address) {
 		return false
 	}
+	if w.knownAddress == "" {
+		d.refuted[w.ID] = refutedEntry{address: address, boot: w.Boot, until: now.Add(refutedTime)}
+	}
 	d.markDead(now, w, proofAnotherBoot)
 	return true
 }
@@ -169,14 +173,31 @@
 			d.updateOpen(w)
 		}
 	}
+	maps.DeleteFunc(d.refuted, func(id model.WorkerID, _ refutedEntry) bool { return !named[id] })
 	d.passNeeded = true
 }
 
+// refutedTime is how long an entry of the list is ignored after another worker has answered at its address.
+const refutedTime = 10 * time.Second
+
+// refutedEntry is an entry of the list whose worker has never answered and is not where the entry says.
+type refutedEntry struct {
+	address string
+	boot    job.BootID
+	until   time.Time
+}
+
+// isRefuted reports whether an entry of the list was refuted lately and has not changed since.
+func (d *Dispatcher) isRefuted(now time.Time, info *job.Worker) bool {
+	e, known := d.refuted[info.ID]
+	return known && e.address == info.Address && e.boot == info.Boot && now.Before(e.until)
+}
+
 func (d *Dispatcher) updateListedWorker(now time.Time, info job.Worker) {
 	w, known := d.workers[info.ID]
 	if !known {
 		// The registry names every worker that may run something, so a draining worker that is not known is empty.
-		if info.Draining {
+		if info.Draining || d.isRefuted(now, &info) {
 			return
 		}
 		w = d.addWorker(info.ID, info.Address)
@@ -270,7 +291,7 @@
 	w.dead = true
 	d.recordCrash(w, proof)
 	d.releaseRuns(now, w)
-	d.registry.dirty = true
+	d.registry.dirty = d.registry.dirty || w.mayRunSomething()
 	d.markAccounted(w)
 }
 
