--- a/internal/transport/relay/fleet_test.go
+++ b/internal/transport/relay/fleet_test.go
@@ -132,6 +132,10 @@
 	mu                     sync.Mutex
 	running                map[job.Task]model.WorkerID
 	runTime                func(job.Run) time.Duration
+	// report, if not nil, fills in what a worker reports of a run that began at a time. onStart, if not nil, is told of each
+	// start.
+	report  func(w *fleetWorker, row *job.RunningTask, began time.Time)
+	onStart func(job.Run)
 }
 
 type fleetWorker struct {
@@ -174,9 +178,9 @@
 ) (jobs.ConfigurationResult, error) {
 	if after > 0 {
 		sleep(ctx, wait)
-		return jobs.ConfigurationResult{Revision: after}, nil
+		return jobs.ConfigurationResult{Revision: after, Newest: true}, nil
 	}
-	return jobs.ConfigurationResult{Changed: true, Revision: 1, Configuration: job.Configuration{
+	return jobs.ConfigurationResult{Changed: true, Newest: true, Revision: 1, Configuration: job.Configuration{
 		Version: 1, Routes: []job.Route{{Queue: testQueue, Service: testService, Attempts: 2, Slack: 1.5}},
 	}}, nil
 }
@@ -213,6 +217,9 @@
 			if isServing(run.Task.Job) {
 				row.Percent, row.Measurement = 100, float64(40+rand.IntN(60))
 			}
+			if f.report != nil {
+				f.report(w, &row, at)
+			}
 			inv.Running = append(inv.Running, row)
 		}
 		w.mu.Unlock()
@@ -247,6 +254,9 @@
 	}
 	f.running[s.Run.Task] = s.Worker
 	f.mu.Unlock()
+	if f.onStart != nil {
+		f.onStart(s.Run)
+	}
 	w.runs[s.Run] = time.Now()
 	time.AfterFunc(f.runTime(s.Run), func() { f.end(w, s.Run, job.EndDone) })
 	return job.OrderResponse{Clock: f.clock()}
@@ -299,7 +309,8 @@
 	}
 	actor, err := jobs.NewControlActor(context.Background(), scheduler.Settings{
 		Entry: "leader", Incarnation: 1, Address: "leader", LeaderTTL: 2 * time.Second, MaxUnconfirmed: 6 * time.Second,
-		Dispatch: dispatch.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Minute, MaxDirectWorkers: maxDirect},
+		ConfigMaxAge: 4 * time.Second,
+		Dispatch:     dispatch.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Minute, MaxDirectWorkers: maxDirect},
 	}, executor, rand.New(rand.NewPCG(1, 1)))
 	assert.NilError(t, err)
 	l.actor = actor
