--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -93,19 +93,19 @@
 	})
 }
 
-// takeDirtyJobs removes up to max jobs from dirtyJobs and returns them: first those that have reached a final phase, for
+// takeDirtyJobs removes up to limit jobs from dirtyJobs and returns them: first those that have reached a final phase, for
 // which callers wait, then those that were changed first.
-func (c *committer) takeDirtyJobs(max int) []*jobState {
-	if len(c.dirtyJobs) <= max {
+func (c *committer) takeDirtyJobs(limit int) []*jobState {
+	if len(c.dirtyJobs) <= limit {
 		taken := c.dirtyJobs
 		c.dirtyJobs = nil
 		return taken
 	}
-	isTaken := make(map[*jobState]bool, max)
-	taken := make([]*jobState, 0, max)
+	isTaken := make(map[*jobState]bool, limit)
+	taken := make([]*jobState, 0, limit)
 	for _, final := range []bool{true, false} {
 		for _, j := range c.dirtyJobs {
-			if j.phase.Final() == final && len(taken) < max {
+			if j.phase.Final() == final && len(taken) < limit {
 				isTaken[j] = true
 				taken = append(taken, j)
 			}
