--- a/internal/coordination/dispatch/relocate.go
+++ b/internal/coordination/dispatch/relocate.go
@@ -8,8 +8,8 @@
 	minHaltedTime = 400 * time.Millisecond
 	// maxChecksPerTick limits how many halted tasks are checked per tick, because each check examines all workers.
 	maxChecksPerTick = 8
-	// relocateTicks is the number of ticks in which all workers are searched for halted tasks.
-	relocateTicks = 4
+	// maxSearchedPerTick limits the workers that are searched for halted tasks per tick.
+	maxSearchedPerTick = 256
 )
 
 // relocate stops halted best-effort tasks that lose little progress, if another worker accepts them, so that they
@@ -17,7 +17,7 @@
 func (d *Dispatcher) relocate(now time.Time) {
 	p := d.newPass(now)
 	checked := 0
-	for range (len(d.sortedWorkers) + relocateTicks - 1) / relocateTicks {
+	for range min(len(d.sortedWorkers), maxSearchedPerTick) {
 		if checked >= maxChecksPerTick {
 			return
 		}
