Ask a worker at once that has restarted according to the list

A hold lets a worker delay its answer by up to a second, so that a restart under its id was noticed that much later since the list alone no longer proves it.

--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -55,7 +55,7 @@
 	// leases are known to have expired.
 	if w.fenced && d.answeredRecently(now, w) {
 		h.LeaseEnd = d.extendLease(now, w)
-		if w.lastProcessedEnd == w.lastCommittedEnd && !w.unreachable {
+		if w.lastProcessedEnd == w.lastCommittedEnd && !w.unreachable && w.claimedAt.IsZero() {
 			h.Wait = w.holdWaitLimit()
 		}
 	}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -206,7 +206,9 @@
 		return
 	}
 	if w.boot != 0 && info.Boot > w.boot && info.Boot != w.claimedBoot {
-		w.claimedBoot, w.claimedAt = info.Boot, now
+		// The worker is asked at once.
+		w.claimedBoot, w.claimedAt, w.nextHold = info.Boot, now, now
+		d.recheckHolds()
 	}
 	if info.Draining && !w.Draining {
 		d.logEvent(notice.WorkerDraining, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)})
