--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -78,7 +78,7 @@
 
 // maxBestEffortCandidates is the number of workers that are examined for the best-effort tasks of a step. The best of this
 // many is nearly as good as the best of all, and a pass over a backlog must not delay other work in a large fleet.
-const maxBestEffortCandidates = 128
+const maxBestEffortCandidates = 384
 
 // candidates returns the workers that are examined for the tasks of a step, with their indexes in sortedWorkers. In a
 // large fleet, successive best-effort steps get successive parts of it, unless they need certain workers; other steps get
