--- a/internal/coordination/dispatch/load.go
+++ b/internal/coordination/dispatch/load.go
@@ -27,9 +27,9 @@
 	RoomForLargest int
 	// FreeCPUMillis is the CPU, in thousandths of a core, that no task reserves on the workers that may get starts.
 	FreeCPUMillis int64
-	// UncommittedJobs are the jobs with progress that no commit covers yet, LongestUncommitted the longest time by which
-	// the commit of one was delayed since the last sample, because others had to be committed first. UnacknowledgedWorkers are the workers that list ends which the
-	// leader has handled but may not acknowledge yet.
+	// UncommittedJobs are the jobs with progress that no commit covers yet. LongestUncommitted is the longest time by which
+	// the commit of one was delayed since the last sample, because others had to be committed first.
+	// UnacknowledgedWorkers are the workers with ends that the leader has handled but may not acknowledge yet.
 	UncommittedJobs, UnacknowledgedWorkers int
 	LongestUncommitted                     time.Duration
 }
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -107,8 +107,7 @@
 	recentlyEnded []endedUse
 	// previousShares is the CPU use of each best-effort image at the previous report.
 	previousShares imageShares
-	// slopes holds for each best-effort image in demand the sum of its interference slopes to the serving tasks on this
-	// worker.
+	// slopes holds for each best-effort image in demand the sum of its interference slopes to the serving tasks here.
 	// totalAdvantage sums the advantages of the images on this worker, weighted by their share of the demand.
 	slopes         []float64
 	totalAdvantage float64
@@ -141,8 +140,8 @@
 	return w.Address
 }
 
-// isKnownAt reports whether a response from an address tells something about the worker. Where the worker has never been,
-// another one has no word on it.
+// isKnownAt reports whether an address is where the worker was known, or it was known nowhere yet. A refusal from another
+// address says nothing about it.
 func (w *worker) isKnownAt(address string) bool {
 	return w.knownAddress == "" || w.knownAddress == address
 }
