--- a/internal/coordination/dispatch/scale_test.go
+++ b/internal/coordination/dispatch/scale_test.go
@@ -25,22 +25,20 @@
 // Pattern: a backlog of batches in a large fleet. Guards against passes over best-effort work whose cost grows with the
 // fleet, for which quick work has to wait: at 1,100 workers they took most of the leader's time.
 func TestPassOverABacklogDoesNotGrowWithTheFleet(t *testing.T) {
-	work := func(workers int) float64 {
-		e := loadedEmulator(workers, 100)
-		d := e.sim.leader
-		const passes = 5
-		n := examined(d, func() {
-			for range passes {
-				e.sim.now = e.sim.now.Add(passInterval)
-				d.place(e.sim.now)
-				d.Actions()
-			}
-		})
-		assert.Assert(t, !d.nextPass.Before(e.sim.now), "no backlog")
-		return float64(n) / passes
+	work := func(workers int) int {
+		sim := fullFleet(t, workers)
+		// Each step has an image of its own and a smaller size than the one placed before, so that none tells about the next.
+		for i := range 2 * maxUnplacedSteps {
+			j := plainJob(job.ID(fmt.Sprint("batch-", i)), 1)
+			j.Steps[0].BestEffort, j.Steps[0].Image = true, fmt.Sprint("image-", i)
+			j.Steps[0].Size.MemoryBytes = 128<<30 + int64(i)
+			sim.accept(j)
+		}
+		return examined(sim.leader, func() { sim.leader.place(sim.now) })
 	}
 	small, large := work(400), work(1600)
-	assert.Assert(t, large < maxGrowth*small, "%.0f workers examined in a pass of 400, %.0f of 1600", small, large)
+	assert.Assert(t, small > 0 && float64(large) < maxGrowth*float64(small),
+		"%d workers examined in a pass of 400, %d of 1600", small, large)
 }
 
 // fullFleet returns a simulation in which short tasks wait because all workers are full.
