--- a/review/_drill/main.go
+++ b/review/_drill/main.go
@@ -28,7 +28,7 @@
 
 var cases = map[string]caseOf{
 	"recurring": {"Acks", runRecurring}, "ends": {"TWICE", runEnds}, "isolated": {"TWICE", runIsolated}, "resigned": {"TWICE", runResigned},
-	"crashes": {"LOST", runCrashes}, "hopeless": {"LOST", runHopeless}, "dropped": {"LOST", runDropped},
+	"hopeless": {"LOST", runHopeless}, "dropped": {"LOST", runDropped},
 }
 
 func main() {
@@ -136,7 +136,7 @@
 	}
 }
 
-// doneOf counts the tasks of a submission that have ended done.
+// doneOf counts which of the given tasks of a submission have ended done.
 func (f *fleet) doneOf(id string, tasks ...string) int {
 	n := 0
 	for _, t := range tasks {
@@ -145,7 +145,7 @@
 	return n
 }
 
-// runsOf counts the runs of a submission that are on workers which are up.
+// runsOf counts the runs of tasks of a submission.
 func (f *fleet) runsOf(id string, tasks ...string) int {
 	n := 0
 	for _, t := range tasks {
