Release runs for ended leases only once a later commit has taken effect

Cause: checkWorkers took the end of the leases that this leader had requested as proof that the runs of an unreachable worker were gone. That holds only while nobody else renews them. A leader that the store does not confirm acts for 6 s, but its record ends after 2 s; its successor reaches the workers and renews. checkUnfenced relied on the same proof for workers that a new leader had never reached.

Why it works: each election rewrites the commit record, and commits expect the revision of the one before. A commit that was sent after the end of the leases and took effect therefore proves that no other leader existed before that end. If there is nothing to write, an empty commit is sent. While the store does not answer, the tasks stay where they are.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -47,6 +47,11 @@
 	inFlight      *batch
 	nextAt        time.Time
 	backoff       time.Duration
+	// confirmedAt is when the newest commit that took effect was sent. No other leader was elected before that: an election
+	// rewrites the commit record, which makes the commits of all other leaders fail.
+	confirmedAt time.Time
+	// confirmationNeeded requests a commit even if nothing has to be written.
+	confirmationNeeded bool
 }
 
 // uncoveredEnds are ends that a worker has listed. They are covered once all jobs are committed that were changed up to
@@ -74,6 +79,8 @@
 	processedEnds map[*worker]processedEnds
 	registry      []job.RegisteredWorker
 	removedJobs   []*jobState
+	// confirmation is set if something waits for the batch because it proves that no other leader was elected before.
+	confirmation bool
 	// sentAt is zero while the batch waits to be sent again.
 	sentAt time.Time
 }
@@ -161,13 +168,14 @@
 	b.jobs = c.takeDirtyJobs(maxCommitJobs - 2*len(b.removedJobs))
 	d.trackLeftOver(now, b.jobs)
 	b.processedEnds = c.takeCoveredEnds()
-	if len(b.jobs) == 0 && !d.registry.dirty {
+	if len(b.jobs) == 0 && !d.registry.dirty && !c.confirmationNeeded {
 		// Ends that changed nothing durable need no commit.
 		d.acknowledgeEnds(b)
 		return nil
 	}
 	c.nextID++
 	b.id = c.nextID
+	b.confirmation, c.confirmationNeeded = c.confirmationNeeded, false
 	b.transaction = d.buildTransaction(b)
 	if slopes := d.interference.slopesToStore(now); slopes != nil {
 		b.transaction.Puts = append(b.transaction.Puts, job.Put{Key: job.KeyInterference, Value: slopes})
@@ -273,10 +281,23 @@
 		// An earlier copy of this commit took effect and its answer was lost.
 		revision = current.Revision
 	}
-	c.recordRevision, c.backoff = revision, 0
 	b := c.inFlight
+	c.recordRevision, c.backoff, c.confirmedAt = revision, 0, b.sentAt
 	c.inFlight = nil
 	d.applyBatch(now, b)
+	if b.confirmation {
+		d.checkWorkers(now)
+	}
+}
+
+// confirmedAfter reports whether no other leader was elected before a time that has passed, as a commit proves that was
+// sent after it. If that is not proved yet, such a commit is requested; checkWorkers is called once it has taken effect.
+func (d *Dispatcher) confirmedAfter(t time.Time) bool {
+	if d.commits.confirmedAt.After(t) {
+		return true
+	}
+	d.commits.confirmationNeeded = true
+	return false
 }
 
 func (d *Dispatcher) retryCommit(now time.Time, err error) {
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -85,20 +85,25 @@
 }
 
 // checkUnfenced stops waiting for a worker of the registry that has not answered by the time that all leases of
-// earlier leaders have expired.
+// earlier leaders have expired. As in checkLeases, a later leader must not have renewed them.
 func (d *Dispatcher) checkUnfenced(now time.Time, w *worker) {
-	if w.inheritedEntry == nil || now.Before(d.recovery.leasesExpiredAt) {
+	if w.inheritedEntry == nil {
 		return
 	}
-	if w.inheritedEntry.Boot != 0 && w.Boot > w.inheritedEntry.Boot &&
-		now.Before(d.recovery.predecessorsStoppedAt.Add(maxOrderDelay)) {
+	ended := d.recovery.leasesExpiredAt
+	if w.inheritedEntry.Boot != 0 && w.Boot > w.inheritedEntry.Boot {
+		if restarted := d.recovery.predecessorsStoppedAt.Add(maxOrderDelay); restarted.After(ended) {
+			ended = restarted
+		}
+	}
+	if !now.After(ended) || !d.confirmedAfter(ended) {
 		return
 	}
 	if w.listed {
 		d.markAccounted(w)
 		return
 	}
-	d.markDead(now, w, "lease-ended")
+	d.markDead(now, w, proofLeaseEnded)
 }
 
 // mayPlace reports whether tasks of a job may be started: either all open workers are accounted for, or the job is so
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -38,6 +38,9 @@
 	maxAnswerAge = 1800 * time.Millisecond
 )
 
+// proofLeaseEnded is the proof that nothing runs on a worker because no leader has renewed the leases there in time.
+const proofLeaseEnded = "lease-ended"
+
 // worker is the state of a worker. It is reset in part when the worker restarts under its id.
 type worker struct {
 	// Worker is what the list says. Others may write to the list: what it says of the boot and the address proves nothing.
@@ -291,20 +294,25 @@
 		Attr{Key: "runs", Value: len(w.runs)})
 	w.dead = true
 	d.recordCrash(w, proof)
-	d.releaseRuns(now, w)
+	d.releaseRuns(now, w, proof)
 	d.registry.dirty = d.registry.dirty || w.mayRunSomething()
 	d.markAccounted(w)
 }
 
-func (d *Dispatcher) releaseRuns(now time.Time, w *worker) {
+// releaseRuns releases the runs of a worker that are proved gone though the worker has not said so.
+func (d *Dispatcher) releaseRuns(now time.Time, w *worker, proof string) {
 	for _, r := range slices.Clone(w.orderedRuns) {
+		if !w.provesCrash(proof) {
+			d.logEvent(notice.RunReleased, Attr{Key: "job", Value: r.Task.Job}, Attr{Key: "task", Value: r.Task.String()},
+				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof})
+		}
 		d.releaseRun(now, r)
 	}
 	d.passNeeded = true
 }
 
-// checkWorkers detects unreachable workers, releases their runs once all leases have expired, and removes dead
-// workers.
+// checkWorkers detects unreachable workers, releases their runs once it is proved that all leases have expired, and
+// removes dead workers.
 func (d *Dispatcher) checkWorkers(now time.Time) {
 	for _, w := range slices.Clone(d.sortedWorkers) {
 		switch {
@@ -321,8 +329,8 @@
 			d.updateOpen(w)
 			d.logEvent(notice.WorkerUnreachable, Attr{Key: "worker", Value: w.ID},
 				Attr{Key: "age", Value: now.Sub(w.answeredAt)})
-		case w.unreachable && now.After(d.runsEndedBy(w)):
-			d.expireLeases(now, w)
+		case w.unreachable:
+			d.checkLeases(now, w)
 		}
 	}
 }
@@ -346,15 +354,19 @@
 	return (w.Draining || !w.listed) && len(w.runs) == 0 && w.deliveredAcknowledgement == w.lastProcessedEnd
 }
 
-// expireLeases releases the runs of an unreachable worker whose leases have expired. A worker that is no longer
-// listed is marked as dead.
-func (d *Dispatcher) expireLeases(now time.Time, w *worker) {
-	if !w.listed {
-		d.markDead(now, w, "lease-ended")
+// checkLeases releases the runs of an unreachable worker once their leases have expired, and marks one that is no longer
+// listed as dead. This leader knows only the leases that it or an earlier leader has requested, so it must not have been
+// replaced before they expired: its successor, who may reach the worker, would have renewed them.
+func (d *Dispatcher) checkLeases(now time.Time, w *worker) {
+	ended := d.runsEndedBy(w)
+	if !now.After(ended) || w.listed && len(w.runs) == 0 || !d.confirmedAfter(ended) {
 		return
 	}
-	if len(w.runs) > 0 {
-		d.logEvent(notice.WorkerLeasesExpired, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)})
-		d.releaseRuns(now, w)
+	if !w.listed {
+		d.markDead(now, w, proofLeaseEnded)
+		return
 	}
+	d.logEvent(notice.WorkerLeasesExpired, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)},
+		Attr{Key: "unconfirmed", Value: now.Sub(ended)})
+	d.releaseRuns(now, w, proofLeaseEnded)
 }
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -85,6 +85,7 @@
 	TaskWaits           Code = 7209
 	RunLost             Code = 7210
 	TaskGivenUp         Code = 7211
+	RunReleased         Code = 7212
 	WorkerFirstResponse Code = 7301
 	WorkerDraining      Code = 7302
 	WorkerRestarted     Code = 7303
@@ -175,6 +176,7 @@
 	TaskWaits:           {"task-waits", Info, "a task has waited for a worker for 3 s"},
 	RunLost:             {"run-lost", Warn, "a run was lost with its worker, which crashed"},
 	TaskGivenUp:         {"task-given-up", Warn, "a task has crashed too many workers; its job fails"},
+	RunReleased:         {"run-released", Warn, "a run is proved gone though its worker did not report its end; the task is rescheduled"},
 	PaceChanged:         {"pace-changed", Info, "the permitted speed of a best-effort task was changed"},
 	WorkerFirstResponse: {"worker-held", Info, "a worker responded to the leader for the first time in this epoch"},
 	WorkerDraining:      {"worker-draining", Info, "a worker is draining and gets no new tasks"},
