Let each leader inherit for how long the leaders before it may act

Cause: claimLeadership set predecessorGrace to 0 when the last leader had resigned or was an earlier incarnation of the same entry. That proves that this one has stopped, not that the one before it has: the first leader went on for its 6 s and renewed leases. An entry whose claim had succeeded without an answer found its own record and took the same path.

Why it works: the commit record, which every claim, commit and resignation rewrites, says how long after it was written a leader before its writer may still act. A successor of a leader that has certainly stopped waits for that long, any other one for MaxUnconfirmed at least, so that nobody is left out of the chain. A record without the field counts as unknown.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -176,17 +176,25 @@
 	c.nextID++
 	b.id = c.nextID
 	b.confirmation, c.confirmationNeeded = c.confirmationNeeded, false
-	b.transaction = d.buildTransaction(b)
+	b.transaction = d.buildTransaction(now, b)
 	if slopes := d.interference.slopesToStore(now); slopes != nil {
 		b.transaction.Puts = append(b.transaction.Puts, job.Put{Key: job.KeyInterference, Value: slopes})
 	}
 	return b
 }
 
-func (d *Dispatcher) buildTransaction(b *batch) job.Transaction {
+// commitRecord returns the commit record to write with a commit.
+func (d *Dispatcher) commitRecord(now time.Time, commit uint64, resigned bool) *job.CommitRecord {
+	return &job.CommitRecord{
+		Incarnation: d.settings.Incarnation, Commit: commit, Resigned: resigned,
+		PredecessorGrace: max(0, d.recovery.predecessorsStoppedAt.Sub(now)), GraceKnown: true,
+	}
+}
+
+func (d *Dispatcher) buildTransaction(now time.Time, b *batch) job.Transaction {
 	tx := job.Transaction{
 		Expect: []job.Expectation{{Key: job.KeyCommit, Revision: d.commits.recordRevision}},
-		Puts:   []job.Put{{Key: job.KeyCommit, Value: &job.CommitRecord{Incarnation: d.settings.Incarnation, Commit: b.id}}},
+		Puts:   []job.Put{{Key: job.KeyCommit, Value: d.commitRecord(now, b.id, false)}},
 	}
 	if d.registry.dirty {
 		d.registry.dirty = false
@@ -358,15 +366,13 @@
 
 // Resign returns the transaction that gives up the leadership, or false while a commit is in flight. Nothing may be
 // sent to workers afterwards.
-func (d *Dispatcher) Resign() (job.Transaction, bool) {
+func (d *Dispatcher) Resign(now time.Time) (job.Transaction, bool) {
 	if d.commits.inFlight != nil {
 		return job.Transaction{}, false
 	}
 	return job.Transaction{
 		Expect: []job.Expectation{{Key: job.KeyCommit, Revision: d.commits.recordRevision}},
-		Puts: []job.Put{{
-			Key: job.KeyCommit, Value: &job.CommitRecord{Incarnation: d.settings.Incarnation, Resigned: true},
-		}},
+		Puts:   []job.Put{{Key: job.KeyCommit, Value: d.commitRecord(now, 0, true)}},
 		Delete: []string{job.KeyLeader},
 	}, true
 }
--- a/internal/coordination/scheduler/answer.go
+++ b/internal/coordination/scheduler/answer.go
@@ -98,7 +98,7 @@
 	delete(c.cancelWaiters, id)
 }
 
-func (ev DrainRequested) apply(c *Core, _ time.Time) {
+func (ev DrainRequested) apply(c *Core, now time.Time) {
 	c.draining = true
 	c.drainWaiters = append(c.drainWaiters, ev.ReplyTo)
 	if c.leadership.stage != leading {
@@ -106,16 +106,16 @@
 		return
 	}
 	c.leadership.resigning = true
-	c.tryResign()
+	c.tryResign(now)
 }
 
 // tryResign resigns the leadership unless a commit is in flight; the next tick then tries again.
-func (c *Core) tryResign() {
+func (c *Core) tryResign(now time.Time) {
 	l := &c.leadership
 	if l.resignSent {
 		return
 	}
-	if tx, ok := l.dispatcher.Resign(); ok {
+	if tx, ok := l.dispatcher.Resign(now); ok {
 		l.resignSent = true
 		c.emit(CommitLeadership{Term: l.term, Transaction: tx})
 	}
--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -84,7 +84,7 @@
 
 	epoch      model.Epoch
 	dispatcher *dispatch.Dispatcher
-	// predecessorGrace is how long the previous leader may still act; 0 if it has certainly stopped.
+	// predecessorGrace is how long an earlier leader may still act; 0 if all have certainly stopped.
 	predecessorGrace time.Duration
 	// jobsRevision is where the next watch of the jobs continues.
 	jobsRevision model.Revision
@@ -267,23 +267,37 @@
 		expected = l.leaderRevision
 	}
 	l.stage = claiming
-	l.predecessorGrace = c.settings.MaxUnconfirmed
-	// No earlier leader can still act if there never was one (no commit record), if it has resigned, or if it was an
-	// earlier incarnation of this entry, which no longer runs.
-	if record, ok := l.commitRecord.Value.(*job.CommitRecord); !ok || record.Resigned || expected != 0 {
-		l.predecessorGrace = 0
-	}
+	l.predecessorGrace = c.predecessorGraceAfter(l.commitRecord)
 	c.emit(CommitLeadership{Term: l.term, Transaction: job.Transaction{
 		Expect: []job.Expectation{
 			{Key: job.KeyLeader, Revision: expected}, {Key: job.KeyCommit, Revision: l.commitRecord.Revision},
 		},
 		Puts: []job.Put{
 			{Key: job.KeyLeader, Value: c.leaderRecord(), Lease: l.lease},
-			{Key: job.KeyCommit, Value: &job.CommitRecord{Incarnation: c.settings.Incarnation}},
+			{Key: job.KeyCommit, Value: &job.CommitRecord{
+				Incarnation: c.settings.Incarnation, PredecessorGrace: l.predecessorGrace, GraceKnown: true,
+			}},
 		},
 	}})
 }
 
+// predecessorGraceAfter returns how long earlier leaders may still act, given the commit record that the last one left.
+// That one has certainly stopped if it has resigned, or if it was this entry: an earlier incarnation no longer runs, and
+// this one led nothing if it finds a claim of its own. The leaders before it may act for as long as it had to expect.
+func (c *Core) predecessorGraceAfter(r *job.Record) time.Duration {
+	record, ok := r.Value.(*job.CommitRecord)
+	if !ok {
+		return 0
+	}
+	// An entry that restored its leader record has not necessarily written the commit record after that.
+	leader := c.leadership.leader
+	lastWasThisEntry := leader != nil && leader.Entry == c.settings.Entry && leader.Incarnation == record.Incarnation
+	if !record.GraceKnown || !record.Resigned && !lastWasThisEntry {
+		return max(c.settings.MaxUnconfirmed, record.PredecessorGrace)
+	}
+	return record.PredecessorGrace
+}
+
 func (ev LeadershipCommitted) apply(c *Core, now time.Time) {
 	l := &c.leadership
 	if ev.Term != l.term {
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -145,7 +145,7 @@
 		c.watchJobs()
 	}
 	if l.resigning {
-		c.tryResign()
+		c.tryResign(now)
 		return
 	}
 	l.dispatcher.Tick(now)
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -34,7 +34,10 @@
 type node struct {
 	core *Core
 	// cutOff means that the store does not respond to this node.
-	cutOff  bool
+	cutOff bool
+	// claimAnswersLost means that the answers to claims of the leadership are lost.
+	claimAnswersLost bool
+
 	config  job.Configuration
 	replies map[ReplyTo]any
 }
@@ -130,7 +133,9 @@
 		if !ok {
 			r = job.Record{Key: job.KeyLeader, Revision: c.revision}
 		}
-		c.deliverAfter(n, 50*time.Millisecond, LeaderRead{Leader: r, Changed: true, Revision: max(c.revision, 1)})
+		c.deliverAfter(n, 50*time.Millisecond, LeaderRead{
+			Leader: r, Changed: c.revision == 0 || c.revision > a.After, Revision: max(c.revision, 1),
+		})
 	case GrantLease:
 		c.lastLease++
 		c.leases[c.lastLease] = c.now.Add(a.TTL)
@@ -147,6 +152,10 @@
 		c.deliverAfter(n, roundTrip, CommitRecordRead{Term: a.Term, Record: c.records[job.KeyCommit]})
 	case CommitLeadership:
 		applied, revision := c.commit(a.Transaction)
+		if n.claimAnswersLost {
+			c.deliverAfter(n, 700*time.Millisecond, LeadershipCommitted{Term: a.Term, Err: errNoResponse})
+			return
+		}
 		c.deliverAfter(n, roundTrip, LeadershipCommitted{Term: a.Term, Applied: applied, Revision: revision})
 	case ReadState:
 		c.deliverAfter(n, roundTrip, StateRead{Term: a.Term, Revision: c.revision})
--- /dev/null
+++ b/internal/coordination/scheduler/succession_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
+	"github.com/jujubearch/jujubearch/internal/state/model"
+)
+
+// isolateLeader cuts the leader off from the store, lets another entry take over, and returns both after some time.
+func (c *cluster) isolateLeader(then time.Duration) (first, second *node) {
+	c.run(time.Second)
+	first = c.leaders()[0]
+	first.cutOff = true
+	for len(c.leaders()) < 2 {
+		c.run(10 * time.Millisecond)
+	}
+	for _, n := range c.leaders() {
+		if n != first {
+			second = n
+		}
+	}
+	c.run(then)
+	return first, second
+}
+
+// assertGraceCovers checks that the newest leader expects an earlier one to act at least until that one steps down.
+func (c *cluster) assertGraceCovers(t *testing.T, first, newest *node) {
+	t.Helper()
+	assert.Assert(t, newest.core.Snapshot().Leading)
+	covered := c.now.Add(newest.core.leadership.predecessorGrace)
+	for first.core.Snapshot().Leading {
+		assert.Assert(t, c.now.Before(covered), "the first leader acts for longer than the newest one expects")
+		c.run(100 * time.Millisecond)
+	}
+	assert.Assert(t, newest.core.Snapshot().Leading)
+}
+
+// newestLeader waits for a leader other than the given one.
+func (c *cluster) newestLeader(t *testing.T, first *node) *node {
+	t.Helper()
+	for range 300 {
+		for _, n := range c.leaders() {
+			if n != first {
+				return n
+			}
+		}
+		c.run(10 * time.Millisecond)
+	}
+	t.Fatal("no other entry leads")
+	return nil
+}
+
+// Guards against a third leader that does not wait for the first one, which is cut off and still acts: the second one has
+// resigned, and only that was counted.
+func TestLeaderWaitsForAllEarlierOnesAfterAResignation(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	first, second := c.isolateLeader(500 * time.Millisecond)
+	c.step(second, DrainRequested{ReplyTo: 1})
+	for second.core.Snapshot().Leading {
+		c.run(10 * time.Millisecond)
+	}
+	c.assertGraceCovers(t, first, c.newestLeader(t, first))
+}
+
+// Guards against the same fault in an entry that is restarted while it leads and takes its own record over.
+func TestLeaderWaitsForAllEarlierOnesAfterARestart(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	first, second := c.isolateLeader(500 * time.Millisecond)
+	for i, n := range c.nodes {
+		if n == second {
+			c.nodes[i] = c.startNode(string(second.core.settings.Entry), 100)
+		}
+	}
+	third := c.newestLeader(t, first)
+	assert.Equal(t, third.core.settings.Incarnation, model.Incarnation(100))
+	c.assertGraceCovers(t, first, third)
+}
+
+// Guards against the same fault in an entry that claims again after the answer to its claim was lost.
+func TestLeaderWaitsForAllEarlierOnesAfterALostAnswer(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.run(time.Second)
+	first := c.leaders()[0]
+	for _, n := range c.nodes {
+		n.claimAnswersLost = n != first
+	}
+	first.cutOff = true
+	c.run(2800 * time.Millisecond)
+	for _, n := range c.nodes {
+		n.claimAnswersLost = false
+	}
+	c.assertGraceCovers(t, first, c.newestLeader(t, first))
+}
+
+// Guards against a chain of resignations in which the time to wait is forgotten or starts anew each time.
+func TestGraceShrinksOverResignations(t *testing.T) {
+	c := newCluster(t, "a", "b", "c", "d")
+	first, leader := c.isolateLeader(0)
+	last := leader.core.leadership.predecessorGrace
+	assert.Equal(t, last, testMaxUnconfirmed)
+	for range 2 {
+		c.run(time.Second)
+		c.step(leader, DrainRequested{ReplyTo: 1})
+		for leader.core.Snapshot().Leading {
+			c.run(10 * time.Millisecond)
+		}
+		leader = c.newestLeader(t, first)
+		grace := leader.core.leadership.predecessorGrace
+		assert.Assert(t, grace < last && grace > 0, "%v after %v", grace, last)
+		last = grace
+	}
+	c.assertGraceCovers(t, first, leader)
+}
+
+// Guards against a restarted entry that takes its own leader record for a proof that nobody else acts: the record was
+// restored after another entry had led.
+func TestRestoredLeaderRecordProvesNothingOfOthers(t *testing.T) {
+	c := newCluster(t)
+	c.revision, c.lastLease = 7, 1
+	c.leases[1] = c.now.Add(testTTL)
+	c.leaseOfKey[job.KeyLeader] = 1
+	c.records[job.KeyLeader] = job.Record{
+		Key: job.KeyLeader, Revision: 6, Value: &job.Leadership{Entry: "a", Incarnation: 1, Address: "a:1"},
+	}
+	c.records[job.KeyCommit] = job.Record{
+		Key: job.KeyCommit, Revision: 5, Value: &job.CommitRecord{Incarnation: 2, GraceKnown: true},
+	}
+	c.nodes = append(c.nodes, c.startNode("a", 100))
+	c.run(time.Second)
+	assert.Equal(t, c.leaders()[0].core.leadership.predecessorGrace, testMaxUnconfirmed)
+}
+
+// Guards against trusting the resignation of a leader of an earlier release, which did not store for how long the ones
+// before it may act.
+func TestResignationOfAnEarlierReleaseProvesNothingOfOthers(t *testing.T) {
+	c := newCluster(t)
+	c.revision = 7
+	c.records[job.KeyCommit] = job.Record{
+		Key: job.KeyCommit, Revision: c.revision, Value: &job.CommitRecord{Incarnation: 99, Resigned: true},
+	}
+	c.nodes = append(c.nodes, c.startNode("a", 1))
+	c.run(time.Second)
+	assert.Equal(t, c.leaders()[0].core.leadership.predecessorGrace, testMaxUnconfirmed)
+}
--- a/internal/protocol/jobrecord/jobrecord.go
+++ b/internal/protocol/jobrecord/jobrecord.go
@@ -9,6 +9,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -37,6 +38,32 @@
 	Incarnation uint64 `json:"incarnation"`
 	Commit      uint64 `json:"commit"`
 	Resigned    bool   `json:"resigned,omitempty"`
+	// PredecessorGrace is in milliseconds, rounded up; it is missing in the records of earlier releases.
+	PredecessorGrace *int64 `json:"predecessor_grace,omitempty"`
+}
+
+func encodeCommit(r *job.CommitRecord) commitJSON {
+	stored := commitJSON{Incarnation: uint64(r.Incarnation), Commit: r.Commit, Resigned: r.Resigned}
+	if r.GraceKnown {
+		grace := int64((r.PredecessorGrace + time.Millisecond - 1) / time.Millisecond)
+		stored.PredecessorGrace = &grace
+	}
+	return stored
+}
+
+func decodeCommit(text []byte) (*job.CommitRecord, error) {
+	var v commitJSON
+	if err := json.Unmarshal(text, &v); err != nil {
+		return nil, errors.Trace(err)
+	}
+	r := &job.CommitRecord{Incarnation: model.Incarnation(v.Incarnation), Commit: v.Commit, Resigned: v.Resigned}
+	if v.PredecessorGrace != nil {
+		if *v.PredecessorGrace < 0 {
+			return nil, errors.Annotatef(ErrInvalid, "predecessor_grace %d", *v.PredecessorGrace)
+		}
+		r.PredecessorGrace, r.GraceKnown = time.Duration(*v.PredecessorGrace)*time.Millisecond, true
+	}
+	return r, nil
 }
 
 // registryJSON is the stored form of job.Registry.
@@ -64,7 +91,7 @@
 	case *job.Leadership:
 		stored = leadershipJSON{string(v.Entry), uint64(v.Incarnation), v.Address}
 	case *job.CommitRecord:
-		stored = commitJSON{uint64(v.Incarnation), v.Commit, v.Resigned}
+		stored = encodeCommit(v)
 	case *job.Registry:
 		r := registryJSON{Workers: make(map[string]string, len(v.Workers)), Boots: make(map[string]int64, len(v.Workers))}
 		for _, w := range v.Workers {
@@ -116,11 +143,7 @@
 			Entry: model.EntryID(v.Entry), Incarnation: model.Incarnation(v.Incarnation), Address: v.Address,
 		}, nil
 	case key == job.KeyCommit:
-		var v commitJSON
-		if err := json.Unmarshal(text, &v); err != nil {
-			return nil, errors.Trace(err)
-		}
-		return &job.CommitRecord{Incarnation: model.Incarnation(v.Incarnation), Commit: v.Commit, Resigned: v.Resigned}, nil
+		return decodeCommit(text)
 	case key == job.KeyRegistry:
 		return decodeRegistry(text)
 	case key == job.KeyInterference:
--- a/internal/protocol/jobrecord/jobrecord_test.go
+++ b/internal/protocol/jobrecord/jobrecord_test.go
@@ -123,3 +123,22 @@
 		}
 	})
 }
+
+// Guards against the record of an earlier release that reads as if no leader before its writer could act any more, and
+// against a time that gets shorter by being stored.
+func TestCommitRecordSaysHowLongEarlierLeadersMayAct(t *testing.T) {
+	decoded, err := Decode(job.KeyCommit, []byte(`{"incarnation":4,"commit":9,"resigned":true}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, &job.CommitRecord{Incarnation: 4, Commit: 9, Resigned: true})
+	for stored, expected := range map[time.Duration]time.Duration{
+		0: 0, time.Microsecond: time.Millisecond, 6 * time.Second: 6 * time.Second,
+	} {
+		text, err := Encode(&job.CommitRecord{Incarnation: 4, PredecessorGrace: stored, GraceKnown: true})
+		assert.NilError(t, err)
+		decoded, err := Decode(job.KeyCommit, text)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, &job.CommitRecord{Incarnation: 4, PredecessorGrace: expected, GraceKnown: true})
+	}
+	_, err = Decode(job.KeyCommit, []byte(`{"incarnation":4,"predecessor_grace":-1}`))
+	assert.ErrorIs(t, err, ErrInvalid)
+}
--- a/internal/state/job/record.go
+++ b/internal/state/job/record.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/jujubearch/jujubearch/internal/state/model"
 )
@@ -51,6 +52,10 @@
 	Commit uint64
 	// Resigned means that the leader has stopped sending orders.
 	Resigned bool
+	// PredecessorGrace is how long after this record was written a leader before this one may still act. It is unknown, and
+	// GraceKnown false, in the records of releases that did not store it.
+	PredecessorGrace time.Duration
+	GraceKnown       bool
 }
 
 // TaskKey identifies a task within its job.
