Take no run for lost whose end a worker may not have listed yet

Cause: a worker lists at most 500 ends at a time; the others follow once those are acknowledged. reconcileRuns took a run that an inventory lists neither as running nor as ended for lost, and nothing said that a list was cut short. A new leader took a worker for accounted for with such a list.

Why it works: an inventory says whether the worker may keep further ends, also through relays. Such an inventory proves no run gone and does not account for a worker; the ends come with the next lists, as each is acknowledged.

--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -151,7 +151,7 @@
 	if w.lastProcessedEnd > processed {
 		d.recordUncovered(w)
 	}
-	d.reconcileRuns(now, sent, w, inv.Running)
+	d.reconcileRuns(now, sent, w, &inv)
 	d.stopStalled(now, w)
 	if !w.fenced {
 		// An earlier leader may have renewed the leases up to the moment at which the worker was fenced.
@@ -160,7 +160,10 @@
 		d.updateOpen(w)
 		d.passNeeded = true
 		d.logEvent(notice.WorkerFirstResponse, Attr{Key: "worker", Value: w.ID}, Attr{Key: "epoch", Value: d.epoch},
-			Attr{Key: "runs", Value: len(inv.Running)}, Attr{Key: "ends", Value: len(inv.Ended)})
+			Attr{Key: "runs", Value: len(inv.Running)}, Attr{Key: "ends", Value: len(inv.Ended)},
+			Attr{Key: "more_ends", Value: inv.MoreEnds})
+	}
+	if !inv.MoreEnds {
 		d.markAccounted(w)
 	}
 	if !inv.Unmeasured {
@@ -171,10 +174,10 @@
 }
 
 // reconcileRuns compares the runs that a worker reports with those that this leader knows.
-func (d *Dispatcher) reconcileRuns(now, sent time.Time, w *worker, reported []job.RunningTask) {
+func (d *Dispatcher) reconcileRuns(now, sent time.Time, w *worker, inv *job.Inventory) {
 	w.inventories++
-	for i := range reported {
-		entry := &reported[i]
+	for i := range inv.Running {
+		entry := &inv.Running[i]
 		r, known := w.runs[entry.Run]
 		if !known {
 			r = d.adoptRun(now, w, entry.Run)
@@ -182,6 +185,10 @@
 		r.lastReport = w.inventories
 		d.updateRun(now, r, entry)
 	}
+	if inv.MoreEnds {
+		// A run that is not listed may have ended; its end is yet to come.
+		return
+	}
 	for _, r := range slices.Clone(w.orderedRuns) {
 		if r.lastReport == w.inventories {
 			continue
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -40,6 +40,8 @@
 	unlisted    bool
 	// reportedPercent is the progress that the worker reports of every run.
 	reportedPercent int
+	// maxListedEnds is the number of ends that an inventory lists; 0 means all.
+	maxListedEnds int
 	// requiredPermit is the permit that every start must carry; empty means none.
 	requiredPermit job.Permit
 	// unguarded means that the worker carries out starts above its capacity, and reports them to overCapacity.
@@ -150,6 +152,9 @@
 		return
 	}
 	inv := job.Inventory{Boot: s.boot, Clock: s.clock(sim.now), Ended: slices.Clone(s.endedRuns)}
+	if s.maxListedEnds > 0 && len(inv.Ended) >= s.maxListedEnds {
+		inv.Ended, inv.MoreEnds = inv.Ended[:s.maxListedEnds], true
+	}
 	for _, run := range s.sortedRuns() {
 		inv.Running = append(inv.Running, job.RunningTask{
 			Run: run, Percent: s.reportedPercent, Measurement: s.runs[run].metric,
--- a/internal/coordination/dispatch/stall.go
+++ b/internal/coordination/dispatch/stall.go
@@ -17,7 +17,7 @@
 		return
 	}
 	for _, r := range w.orderedRuns {
-		if r.stalled(now) {
+		if r.lastReport == w.inventories && r.stalled(now) {
 			d.stopRun(r, "stalled")
 			w.health.avoidUntil = now.Add(stalledBackoff)
 		}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -359,7 +359,8 @@
 // replaced before they expired: its successor, who may reach the worker, would have renewed them.
 func (d *Dispatcher) checkLeases(now time.Time, w *worker) {
 	ended := d.runsEndedBy(w)
-	if !now.After(ended) || w.listed && len(w.runs) == 0 || !d.confirmedAfter(ended) {
+	pending := !w.listed || len(w.runs) > 0 || w.inheritedEntry != nil
+	if !pending || !now.After(ended) || !d.confirmedAfter(ended) {
 		return
 	}
 	if !w.listed {
@@ -369,4 +370,5 @@
 	d.logEvent(notice.WorkerLeasesExpired, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)},
 		Attr{Key: "unconfirmed", Value: now.Sub(ended)})
 	d.releaseRuns(now, w, proofLeaseEnded)
+	d.markAccounted(w)
 }
--- a/internal/protocol/inventory/inventory.go
+++ b/internal/protocol/inventory/inventory.go
@@ -49,7 +49,7 @@
 
 // Encode returns the message for an inventory.
 func (e *Encoder) Encode(inv job.Inventory, detail Detail) *jobspb.Inventory {
-	m := &jobspb.Inventory{Base: e.number, Boot: int64(inv.Boot), Unmeasured: !detail.Measurements}
+	m := &jobspb.Inventory{Base: e.number, Boot: int64(inv.Boot), Unmeasured: !detail.Measurements, MoreEnds: inv.MoreEnds}
 	if e.complete || inv.Boot != e.boot {
 		e.rows, e.complete, e.boot, e.lastEnd, m.Base = nil, false, inv.Boot, 0, 0
 	}
@@ -141,7 +141,9 @@
 	if err != nil {
 		return job.Inventory{}, err
 	}
-	inv := job.Inventory{Boot: job.BootID(m.GetBoot()), Clock: clock, Running: rows, Unmeasured: m.GetUnmeasured()}
+	inv := job.Inventory{
+		Boot: job.BootID(m.GetBoot()), Clock: clock, Running: rows, Unmeasured: m.GetUnmeasured(), MoreEnds: m.GetMoreEnds(),
+	}
 	for _, end := range m.GetEnded() {
 		if end.GetKind() > maxEndKind {
 			return job.Inventory{}, errors.Annotatef(ErrMalformed, "kind of end %d", end.GetKind())
--- a/internal/protocol/inventory/inventory_test.go
+++ b/internal/protocol/inventory/inventory_test.go
@@ -13,7 +13,9 @@
 )
 
 func drawInventory(t *rapid.T) job.Inventory {
-	inv := job.Inventory{Boot: job.BootID(rapid.Int64Range(1, 2).Draw(t, "boot")), Clock: time.Second}
+	inv := job.Inventory{
+		Boot: job.BootID(rapid.Int64Range(1, 2).Draw(t, "boot")), Clock: time.Second, MoreEnds: rapid.Bool().Draw(t, "more"),
+	}
 	for n := range 6 {
 		if !rapid.Bool().Draw(t, "running") {
 			continue
@@ -70,6 +72,7 @@
 			}
 			assert.Assert(t, known[inv.Boot] >= int64(len(inv.Ended)), "an end is missing")
 			assert.Equal(t, decoded.Boot, inv.Boot)
+			assert.Equal(t, decoded.MoreEnds, inv.MoreEnds)
 		}
 	})
 }
--- a/internal/state/job/worker.go
+++ b/internal/state/job/worker.go
@@ -76,6 +76,9 @@
 	Clock   time.Duration
 	Running []RunningTask
 	Ended   []EndedTask
+	// MoreEnds means that the worker may keep further ends, which follow those in Ended and are listed once these are
+	// acknowledged. A run that is neither in Running nor in Ended may then have ended.
+	MoreEnds bool
 	// Unmeasured means that the percentages and measurements of Running are those of an earlier inventory.
 	Unmeasured bool
 }
