Keep the progress of recurring jobs small, and commits going without a record that can't be stored

A new leader did not help.

Causes: the stored progress of a recurring job listed each finished step of each occurrence and outgrew 900 KiB. And retryCommit sent a batch with a record that can't be encoded again and again; commits are one chain, so that this job blocked those of all.

Why it works: progress holds how many occurrences were opened and which of them are unfinished, as ranges, and the leader drops finished ones; at most 10,000 tasks of such a job are open, so that both have a bound whatever the number of times. A commit that names a record which can't be stored is taken apart: the other changes are committed without it, and the record gets smaller until it fits, at last by failing its job. The registry and the interference slopes, and ids whose keys are too long for the store, could block the chain in the same way. Event 7406 names the record.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -30,9 +30,6 @@
 	maxRemovedJobs = 4
 )
 
-// registryState records whether the registry has to be written: after a worker was added, closed, opened or removed.
-type registryState struct{ dirty bool }
-
 // committer writes progress as a chain of transactions, one at a time, each expecting the revision of the one before.
 type committer struct {
 	// recordRevision is the revision of the newest commit.
@@ -197,21 +194,7 @@
 		Puts:   []job.Put{{Key: job.KeyCommit, Value: d.commitRecord(now, b.id, false)}},
 	}
 	if d.registry.dirty {
-		d.registry.dirty = false
-		registry := &job.Registry{}
-		for _, w := range d.sortedWorkers {
-			if !w.mayRunSomething() {
-				w.storedOpen = false
-				continue
-			}
-			if !w.dead {
-				entry := w.registryEntry()
-				w.storedOpen = w.storedOpen && !entry.NoMoreStarts
-				b.registry = append(b.registry, entry)
-				registry.Workers = append(registry.Workers, entry)
-			}
-		}
-		tx.Puts = append(tx.Puts, job.Put{Key: job.KeyRegistry, Value: registry})
+		tx.Puts = append(tx.Puts, job.Put{Key: job.KeyRegistry, Value: d.storedRegistry(b)})
 	}
 	for _, j := range b.jobs {
 		j.dirty = false
@@ -242,7 +225,13 @@
 		return p
 	}
 	p.Tasks = make(map[job.TaskKey]job.TaskProgress)
+	if j.Times > 0 {
+		p.Opened = j.opened
+	}
 	for _, o := range j.occurrences {
+		if j.Times > 0 {
+			p.Unfinished = append(p.Unfinished, o.number)
+		}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if stored := t.progress(); !stored.IsZero() {
@@ -261,7 +250,7 @@
 		return job.TaskProgress{Done: true}
 	}
 	p := job.TaskProgress{FailedRuns: slices.Clone(t.failedRuns), Crashes: t.crashes, QuickCrashes: t.quickCrashes}
-	if len(t.runs) == 0 {
+	if len(t.runs) == 0 && !t.owner.omitCheckpoints {
 		p.Checkpoint = t.checkpoint
 	}
 	return p
--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -84,17 +84,13 @@
 	d.passNeeded = true
 	j := t.owner
 	j.path = s.path
-	o := j.occurrences[t.Occurrence]
+	o := j.findOccurrence(t.Occurrence)
 	o.stepsLeft--
-	if o.stepsLeft > 0 || len(j.occurrences) < j.Times {
+	if o.stepsLeft > 0 {
 		return
 	}
-	for _, o := range j.occurrences {
-		if o.stepsLeft > 0 {
-			return
-		}
-	}
-	if !j.phase.Final() {
+	j.closeOccurrence(o)
+	if j.allDone() && !j.phase.Final() {
 		d.recordStages(now, j)
 		d.endJob(j, job.Completed)
 	}
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -23,8 +23,11 @@
 	sinceTakeover bool
 	// sizes holds what a task of each step takes of its worker's capacity. They are kept after the job has ended: its runs
 	// count until they are gone.
-	sizes       []model.Resources
+	sizes []model.Resources
+	// occurrences are those that have been opened and, if the job recurs, have tasks left, in the order of their numbers.
+	// opened is the number of those that have been opened; the next one has this number.
 	occurrences []*occurrence
+	opened      int
 	phase       job.Phase
 	// committedPhase is the phase that the store holds.
 	committedPhase job.Phase
@@ -44,16 +47,12 @@
 	leftOverSince time.Time
 	// crashUncommitted is set while a crash that is charged to one of the tasks is not committed.
 	crashUncommitted bool
+	// omitCheckpoints is set if the job's progress is too large to be stored with the checkpoints.
+	omitCheckpoints bool
 	// cancelPending means that a caller is waiting for the cancellation to be committed.
 	cancelPending bool
 }
 
-type occurrence struct {
-	number    int
-	steps     []*step
-	stepsLeft int
-}
-
 type step struct {
 	*job.Step
 	index     int
@@ -140,7 +139,7 @@
 	d.insertJob(state)
 	d.pendingJobs[j.Queue]++
 	if j.Times == 0 {
-		d.openOccurrence(state, 0, now)
+		d.openNext(state, now)
 	}
 	if progress != nil {
 		d.restoreProgress(state, progress, now)
@@ -225,46 +224,6 @@
 	return a.due.Compare(b.due)
 }
 
-// openOccurrence creates the steps and tasks of an occurrence.
-func (d *Dispatcher) openOccurrence(j *jobState, number int, now time.Time) {
-	o := &occurrence{number: number, stepsLeft: len(j.Steps)}
-	for i := range j.Steps {
-		s := &step{Step: &j.Steps[i], index: i, tasksLeft: j.Steps[i].Tasks}
-		for n := range s.Tasks {
-			t := &task{
-				Task: job.Task{Job: j.ID, Occurrence: number, Step: i, Index: n}, step: s, owner: j,
-				readySince: now, firstReadyAt: now,
-			}
-			s.tasks = append(s.tasks, t)
-			t.updateWaiting()
-		}
-		for _, dependency := range slices.Compact(slices.Sorted(slices.Values(s.After))) {
-			s.pendingDependencies++
-			o.steps[dependency].dependents = append(o.steps[dependency].dependents, s)
-		}
-		o.steps = append(o.steps, s)
-	}
-	j.occurrences = append(j.occurrences, o)
-	d.passNeeded = true
-}
-
-// openDueOccurrences opens the scheduled occurrences that are due.
-func (d *Dispatcher) openDueOccurrences(now time.Time) {
-	for _, j := range d.openJobs {
-		d.openDueOccurrencesOf(j, now)
-	}
-}
-
-func (d *Dispatcher) openDueOccurrencesOf(j *jobState, now time.Time) {
-	for j.phase == job.Queued && len(j.occurrences) < j.Times {
-		number := len(j.occurrences)
-		if now.Round(0).Before(j.First.Add(time.Duration(number) * j.Interval)) {
-			break
-		}
-		d.openOccurrence(j, number, now)
-	}
-}
-
 // updateWaiting updates the counts of waiting tasks. It is called after each change of whether the task is done or has
 // runs.
 func (t *task) updateWaiting() {
@@ -281,49 +240,6 @@
 	t.owner.waiting += change
 }
 
-// restoreProgress applies progress that an earlier leader committed.
-func (d *Dispatcher) restoreProgress(j *jobState, p *job.Progress, now time.Time) {
-	for key := range p.Tasks {
-		for len(j.occurrences) <= key.Occurrence && len(j.occurrences) < max(1, j.Times) {
-			d.openOccurrence(j, len(j.occurrences), now)
-		}
-	}
-	for key, stored := range p.Tasks {
-		t := j.findTask(key)
-		if t == nil {
-			continue
-		}
-		d.markStarted(j)
-		t.failedRuns, t.checkpoint = stored.FailedRuns, stored.Checkpoint
-		t.crashes, t.quickCrashes = stored.Crashes, stored.QuickCrashes
-		if stored.Done {
-			d.finishTask(now, t)
-		}
-	}
-	j.dirty = false
-}
-
-// findTask returns a task of an opened occurrence, or nil.
-func (j *jobState) findTask(key job.TaskKey) *task {
-	s := j.findStep(key.Occurrence, key.Step)
-	if s == nil || key.Index < 0 || key.Index >= len(s.tasks) {
-		return nil
-	}
-	return s.tasks[key.Index]
-}
-
-// findStep returns a step of an opened occurrence, or nil.
-func (j *jobState) findStep(occurrence, number int) *step {
-	if occurrence < 0 || occurrence >= len(j.occurrences) {
-		return nil
-	}
-	steps := j.occurrences[occurrence].steps
-	if number < 0 || number >= len(steps) {
-		return nil
-	}
-	return steps[number]
-}
-
 // hasRuns reports whether a task of the job is, or may be, on a worker.
 func (j *jobState) hasRuns() bool {
 	for _, o := range j.occurrences {
--- a/internal/coordination/dispatch/interference.go
+++ b/internal/coordination/dispatch/interference.go
@@ -65,6 +65,8 @@
 	// storedAt is when the slopes were last part of a commit. unstored is set if they have been fitted again since.
 	storedAt time.Time
 	unstored bool
+	// unstorable is set if the slopes are too many to be stored.
+	unstorable bool
 }
 
 func newInterferenceModel() interferenceModel {
@@ -275,7 +277,7 @@
 
 // slopesToStore returns the slopes, or nil if they need not be stored yet.
 func (m *interferenceModel) slopesToStore(now time.Time) *job.Interference {
-	if !m.unstored || now.Sub(m.storedAt) < slopeStoreInterval {
+	if m.unstorable || !m.unstored || now.Sub(m.storedAt) < slopeStoreInterval {
 		return nil
 	}
 	m.storedAt, m.unstored = now, false
--- /dev/null
+++ b/internal/coordination/dispatch/registry.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"slices"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
+)
+
+// registryState says how the registry is to be written.
+type registryState struct {
+	// dirty is set after a worker was added, closed, opened or removed.
+	dirty bool
+	// withoutRuns is set if a registry that lists the tasks of closed workers can't be stored. They are then stored as open.
+	withoutRuns bool
+}
+
+// storedRegistry returns the registry to write and records it in the batch.
+func (d *Dispatcher) storedRegistry(b *batch) *job.Registry {
+	d.registry.dirty = false
+	for _, w := range d.sortedWorkers {
+		if !w.mayRunSomething() {
+			w.storedOpen = false
+			continue
+		}
+		if w.dead {
+			continue
+		}
+		entry := w.registryEntry()
+		if d.registry.withoutRuns {
+			// A new leader then waits for the worker before it starts any older task.
+			entry.NoMoreStarts, entry.Runs = false, nil
+		}
+		w.storedOpen = w.storedOpen && !entry.NoMoreStarts
+		b.registry = append(b.registry, entry)
+	}
+	return &job.Registry{Workers: slices.Clone(b.registry)}
+}
+
+// updateOpen closes a worker at once, but opens it only if the stored registry has it as open. If the stored entry
+// differs, the registry is written.
+func (d *Dispatcher) updateOpen(w *worker) {
+	w.open = w.storedOpen && !w.closedToStarts()
+	if w.storedOpen == w.closedToStarts() && (!w.storedOpen || !d.registry.withoutRuns) {
+		d.registry.dirty = true
+	}
+}
+
+// registryEntry returns the worker's entry for the registry. The entry of an earlier leader is kept unchanged until
+// the worker is accounted for.
+func (w *worker) registryEntry() job.RegisteredWorker {
+	if w.inheritedEntry != nil {
+		return *w.inheritedEntry
+	}
+	r := job.RegisteredWorker{ID: w.ID, Address: w.knownAddress, Boot: w.boot, NoMoreStarts: w.closedToStarts()}
+	if r.NoMoreStarts {
+		for _, run := range w.orderedRuns {
+			r.Runs = append(r.Runs, run.Task)
+		}
+	}
+	return r
+}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -232,30 +232,6 @@
 // answer it can't: an entry of the list alone may come from another writer.
 func (w *worker) mayRunSomething() bool { return w.inheritedEntry != nil || w.boot != 0 }
 
-// updateOpen closes a worker at once, but opens it only if the stored registry has it as open. If the stored entry
-// differs, the registry is written.
-func (d *Dispatcher) updateOpen(w *worker) {
-	w.open = w.storedOpen && !w.closedToStarts()
-	if w.storedOpen == w.closedToStarts() {
-		d.registry.dirty = true
-	}
-}
-
-// registryEntry returns the worker's entry for the registry. The entry of an earlier leader is kept unchanged until
-// the worker is accounted for.
-func (w *worker) registryEntry() job.RegisteredWorker {
-	if w.inheritedEntry != nil {
-		return *w.inheritedEntry
-	}
-	r := job.RegisteredWorker{ID: w.ID, Address: w.knownAddress, Boot: w.boot, NoMoreStarts: w.closedToStarts()}
-	if r.NoMoreStarts {
-		for _, run := range w.orderedRuns {
-			r.Runs = append(r.Runs, run.Task)
-		}
-	}
-	return r
-}
-
 func (d *Dispatcher) addWorker(id model.WorkerID, address string) *worker {
 	w := &worker{Worker: job.Worker{ID: id, Address: address}, runs: make(map[job.Run]*run)}
 	d.workers[id] = w
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -42,6 +42,8 @@
 	// foreignWriter means that submitUnderFaults draws such entries.
 	foreignWriter  bool
 	registryWrites int
+	// unstorable, if set, says whether a record can't be stored.
+	unstorable func(job.Put) bool
 	// emulateLoad, if set, lets a step of time pass on a worker.
 	emulateLoad func(s *simWorker, step time.Duration)
 }
@@ -347,6 +349,15 @@
 			sim.advance(d)
 		}
 	}
+	if at := slices.IndexFunc(c.Transaction.Puts, func(p job.Put) bool { return sim.unstorable != nil && sim.unstorable(p) }); at >= 0 {
+		sim.after(time.Millisecond, func() {
+			if d == sim.leader {
+				d.HandleUnstorable(sim.now, c.ID, c.Transaction.Puts[at].Key, verdict.NotRunError("too large", nil))
+				sim.advance(d)
+			}
+		})
+		return
+	}
 	switch {
 	case sim.store.unavailable:
 		sim.after(50*time.Millisecond, func() { answer(false, 0, verdict.NotRunError("store down", nil)) })
--- a/internal/coordination/scheduler/answer.go
+++ b/internal/coordination/scheduler/answer.go
@@ -59,7 +59,12 @@
 }
 
 func (ev Committed) apply(c *Core, now time.Time) {
-	if d := c.dispatcherFor(ev.Epoch); d != nil {
+	d := c.dispatcherFor(ev.Epoch)
+	switch {
+	case d == nil:
+	case ev.UnstorableKey != "":
+		d.HandleUnstorable(now, ev.ID, ev.UnstorableKey, ev.Err)
+	default:
 		d.HandleCommit(now, ev.ID, ev.Revision, ev.Applied, ev.Record, ev.Err)
 	}
 }
--- a/internal/coordination/scheduler/event.go
+++ b/internal/coordination/scheduler/event.go
@@ -168,6 +168,8 @@
 	Revision model.Revision
 	Record   job.Record
 	Err      error
+	// UnstorableKey is the key of a record that can't be stored, for the reason in Err. The commit was not sent.
+	UnstorableKey string
 }
 
 // RelayOffered means that an entry carries orders of the leader with the given epoch.
--- a/internal/protocol/jobapi/jobapi_test.go
+++ b/internal/protocol/jobapi/jobapi_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
 )
 
 // Guards against a panic, and against an invalid job that is accepted.
@@ -35,3 +38,14 @@
 		assert.Error(t, err, want)
 	}
 }
+
+// Guards against a job that is accepted although the key of its progress is too long for the store: it would never end.
+func TestIDsWithTooLongKeysAreRefused(t *testing.T) {
+	text := []byte(`{"steps":[{"tasks":1}]}`)
+	longest := strings.Repeat("a", job.MaxIDBytes)
+	_, err := Decode(text, job.ID(longest), "q", time.UnixMilli(0))
+	assert.NilError(t, err)
+	assert.Assert(t, len(job.ProgressKey(job.ID(longest))) <= job.MaxKeyBytes && len(job.Key(job.ID(longest))) <= job.MaxKeyBytes)
+	_, err = Decode(text, job.ID(longest+"a"), "q", time.UnixMilli(0))
+	assert.ErrorIs(t, err, ErrInvalid)
+}
--- a/internal/protocol/jobrecord/job.go
+++ b/internal/protocol/jobrecord/job.go
@@ -98,12 +98,47 @@
 
 // progressJSON is the stored form of the progress of a job. Done lists the finished tasks as ranges of indices, and Bits
 // those of steps of which scattered tasks have finished. Tasks lists the tasks that are not finished but have failed or
-// have a checkpoint.
+// have a checkpoint. Opened and Unfinished are those of job.Progress, the latter as ranges of numbers.
 type progressJSON struct {
-	Phase string      `json:"phase,omitempty"`
-	Done  []doneRange `json:"done,omitempty"`
-	Bits  []doneBits  `json:"bits,omitempty"`
-	Tasks []taskJSON  `json:"tasks,omitempty"`
+	Phase      string            `json:"phase,omitempty"`
+	Opened     int               `json:"opened,omitempty"`
+	Unfinished []occurrenceRange `json:"unfinished,omitempty"`
+	Done       []doneRange       `json:"done,omitempty"`
+	Bits       []doneBits        `json:"bits,omitempty"`
+	Tasks      []taskJSON        `json:"tasks,omitempty"`
+}
+
+// occurrenceRange is [first number, last number].
+type occurrenceRange [2]int
+
+// maxUnfinished bounds the unfinished occurrences in a record that is read. The leader keeps far fewer open.
+const maxUnfinished = 1 << 20
+
+func encodeOccurrences(numbers []int) []occurrenceRange {
+	var ranges []occurrenceRange
+	for _, n := range numbers {
+		if last := len(ranges) - 1; last >= 0 && ranges[last][1]+1 == n {
+			ranges[last][1] = n
+			continue
+		}
+		ranges = append(ranges, occurrenceRange{n, n})
+	}
+	return ranges
+}
+
+func decodeOccurrences(opened int, ranges []occurrenceRange) ([]int, error) {
+	var numbers []int
+	next := 0
+	for _, r := range ranges {
+		if r[0] < next || r[1] < r[0] || r[1] >= opened || r[1]-r[0] >= maxUnfinished-len(numbers) {
+			return nil, errors.Annotatef(ErrInvalid, "unfinished occurrences %v of %d", r, opened)
+		}
+		for n := r[0]; n <= r[1]; n++ {
+			numbers = append(numbers, n)
+		}
+		next = r[1] + 1
+	}
+	return numbers, nil
 }
 
 // doneRange is [occurrence, step, first index, last index].
@@ -141,6 +176,7 @@
 		stored.Phase = p.Phase.String()
 		return stored
 	}
+	stored.Opened, stored.Unfinished = p.Opened, encodeOccurrences(p.Unfinished)
 	for _, key := range sortedTaskKeys(p.Tasks) {
 		t := p.Tasks[key]
 		if !t.Done {
@@ -201,6 +237,11 @@
 		}
 		p.Phase = phase
 	}
+	unfinished, err := decodeOccurrences(v.Opened, v.Unfinished)
+	if err != nil {
+		return nil, err
+	}
+	p.Opened, p.Unfinished = v.Opened, unfinished
 	for _, d := range v.Done {
 		if d[2] < 0 || d[3]-d[2] > job.MaxTasksPerStep {
 			return nil, errors.Annotatef(ErrInvalid, "invalid range of finished tasks %v", d)
--- a/internal/protocol/jobrecord/jobrecord_test.go
+++ b/internal/protocol/jobrecord/jobrecord_test.go
@@ -142,3 +142,34 @@
 	_, err = Decode(job.KeyCommit, []byte(`{"incarnation":4,"predecessor_grace":-1}`))
 	assert.ErrorIs(t, err, ErrInvalid)
 }
+
+// Guards against stored progress that grows with the number of finished occurrences, and against losing an unfinished one.
+func TestProgressOfRecurringJobStaysSmall(t *testing.T) {
+	const opened = 72_000
+	p := &job.Progress{Job: "0123456789abcdef", Opened: opened, Tasks: map[job.TaskKey]job.TaskProgress{}}
+	for n := opened - job.MaxTasksPerStep; n < opened; n += 2 {
+		p.Unfinished = append(p.Unfinished, n)
+	}
+	text, err := Encode(p)
+	assert.NilError(t, err)
+	assert.Assert(t, len(text) < MaxBytes/4, "%d bytes", len(text))
+	decoded, err := Decode(job.ProgressKey(p.Job), text)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, p)
+	for _, text := range []string{
+		`{"opened":3,"unfinished":[[2,3]]}`, `{"opened":3,"unfinished":[[1,0]]}`, `{"opened":9,"unfinished":[[3,4],[4,5]]}`,
+		`{"opened":-1,"unfinished":[[-2,-2]]}`, `{"opened":2000000000,"unfinished":[[0,1999999999]]}`,
+	} {
+		_, err := Decode(job.ProgressKey(p.Job), []byte(text))
+		assert.ErrorIs(t, err, ErrInvalid, text)
+	}
+}
+
+// Guards against records of earlier releases, which list each finished task of each occurrence, that can't be read.
+func TestProgressOfEarlierReleaseIsRead(t *testing.T) {
+	decoded, err := Decode(job.ProgressKey("a"), []byte(`{"done":[[0,0,0,1],[1,0,0,0]]}`))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, &job.Progress{Job: "a", Tasks: map[job.TaskKey]job.TaskProgress{
+		{Occurrence: 0}: {Done: true}, {Occurrence: 0, Index: 1}: {Done: true}, {Occurrence: 1}: {Done: true},
+	}})
+}
--- a/internal/state/job/job.go
+++ b/internal/state/job/job.go
@@ -108,6 +108,9 @@
 
 // Validate returns a description of the first error in the job, or an empty string if it is valid.
 func (j *Job) Validate() string {
+	if len(j.ID) > MaxIDBytes {
+		return fmt.Sprintf("id: %d bytes, at most %d are allowed", len(j.ID), MaxIDBytes)
+	}
 	if len(j.Steps) == 0 {
 		return "steps: at least one step is required"
 	}
--- a/internal/state/job/record.go
+++ b/internal/state/job/record.go
@@ -115,6 +115,11 @@
 type Progress struct {
 	Job   ID
 	Phase Phase
+	// Opened is the number of occurrences of a recurring job that have been opened. Unfinished are those of them with tasks
+	// left, in ascending order; the tasks of the others are done. Opened is 0 in the records of releases that listed each
+	// task of each occurrence in Tasks, and for jobs that do not recur.
+	Opened     int
+	Unfinished []int
 	// Tasks holds the tasks that are done, have failed or have a checkpoint. It is empty in a final phase.
 	Tasks map[TaskKey]TaskProgress
 }
@@ -164,5 +169,11 @@
 	return Task{Job: ID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, true
 }
 
+// MaxKeyBytes is the length of the longest key that the store takes.
+const MaxKeyBytes = 200
+
+// MaxIDBytes is the length of the longest job id: the keys of the job and of its progress contain it.
+const MaxIDBytes = MaxKeyBytes - len(PrefixProgress)
+
 // MaxTransactionRows is the number of expectations, puts and deletions that the store takes in one transaction.
 const MaxTransactionRows = 32
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -102,6 +102,7 @@
 	SettingsReloaded    Code = 7403
 	RecordRefused       Code = 7404
 	LinesDropped        Code = 7405
+	RecordUnstorable    Code = 7406
 )
 
 // Attr is an attribute of an event.
@@ -193,6 +194,7 @@
 	DependencyRecovered: {"dependency-back", Info, "a dependency responds again"},
 	SettingsReloaded:    {"settings-reloaded", Info, "the settings were reloaded"},
 	RecordRefused:       {"record-refused", Warn, "a record can't be decoded and is ignored"},
+	RecordUnstorable:    {"record-unstorable", Error, "a record can't be stored as it is; the others are stored without it"},
 	LinesDropped:        {"lines-dropped", Warn, "log lines were dropped because the output was too slow"},
 
 	VMListRecovered: {"vm-list-recovered", Info, "the VM list is available again"},
--- a/internal/transport/jobs/execute.go
+++ b/internal/transport/jobs/execute.go
@@ -151,13 +151,26 @@
 	return records
 }
 
-// commit encodes the records of a transaction and writes it to the store.
+// unstorableError means that a record can't be stored, whatever the state of the store.
+type unstorableError struct {
+	key   string
+	cause error
+}
+
+// Error returns the key and the cause.
+func (e *unstorableError) Error() string { return e.key + ": " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *unstorableError) Unwrap() error { return e.cause }
+
+// commit encodes the records of a transaction and writes it to the store. If a record can't be stored, the error contains
+// an unstorableError and nothing was sent.
 func (e *Executor) commit(ctx context.Context, tx job.Transaction) (TransactionResult, error) {
 	encoded := Transaction{Expect: tx.Expect, Delete: tx.Delete}
 	for _, p := range tx.Puts {
 		value, err := jobrecord.Encode(p.Value)
 		if err != nil {
-			return TransactionResult{}, verdict.NotRunError("cannot encode record", err)
+			return TransactionResult{}, verdict.NotRunError("cannot encode record", &unstorableError{p.Key, err})
 		}
 		encoded.Puts = append(encoded.Puts, Put{Key: p.Key, Value: value, Lease: p.Lease})
 	}
@@ -322,6 +335,10 @@
 	committed := scheduler.Committed{
 		Epoch: a.Epoch, ID: c.ID, Applied: result.Applied, Revision: result.Revision, Err: err,
 	}
+	var unstorable *unstorableError
+	if errors.As(err, &unstorable) {
+		committed.UnstorableKey = unstorable.key
+	}
 	for _, item := range result.CurrentItems {
 		if item.Key == job.KeyCommit {
 			committed.Record = decodeItem(item)
