Let a leader that restores its record find out at once whether another one has led

A leader whose lease has ended writes its record again if there is none. Another entry may have been elected and have resigned in between. The leader then went on under its old epoch, without its successor's commits, until its next commit failed or a worker refused its epoch.

It now requests a commit as soon as its record is restored. Each election rewrites the commit record, so that the commit fails if another entry has led, and the leader stands for election again.

TestRestoredLeaderNoticesThatAnotherOneHasLed failed before (same epoch after 2 s) and passes now.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -293,10 +293,14 @@
 	if d.commits.confirmedAt.After(t) {
 		return true
 	}
-	d.commits.confirmationNeeded = true
+	d.RequestConfirmation()
 	return false
 }
 
+// RequestConfirmation requests a commit that shows whether another leader was elected meanwhile, even if there is nothing to
+// write.
+func (d *Dispatcher) RequestConfirmation() { d.commits.confirmationNeeded = true }
+
 func (d *Dispatcher) retryCommit(now time.Time, err error) {
 	c := &d.commits
 	c.inFlight.sentAt = time.Time{}
--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -310,6 +310,8 @@
 		l.reclaiming = false
 		if ev.Applied {
 			l.confirmedAt = l.leaseRequestedAt
+			// Another entry may have led, and resigned, while there was no record. Then the commit fails.
+			l.dispatcher.RequestConfirmation()
 		} else if ev.Err == nil {
 			c.stepDown(now, "the leadership was taken over")
 		}
--- a/internal/coordination/scheduler/succession_test.go
+++ b/internal/coordination/scheduler/succession_test.go
@@ -146,3 +146,19 @@
 	c.run(time.Second)
 	assert.Equal(t, c.leaders()[0].core.leadership.predecessorGrace, testMaxUnconfirmed)
 }
+
+// Guards against a leader that restores its record after its lease has ended and goes on under its old epoch, although
+// another entry has led, and resigned, in between.
+func TestRestoredLeaderNoticesThatAnotherOneHasLed(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	first, second := c.isolateLeader(100 * time.Millisecond)
+	epoch := first.core.leadership.epoch
+	c.step(second, DrainRequested{ReplyTo: 1})
+	c.run(100 * time.Millisecond)
+	assert.Assert(t, !second.core.Snapshot().Leading)
+	first.cutOff = false
+	c.run(2 * time.Second)
+	assert.Equal(t, len(c.leaders()), 1)
+	assert.Equal(t, c.leaders()[0], first)
+	assert.Assert(t, first.core.leadership.epoch > epoch, "the leader goes on under its old epoch")
+}
