Run no job whose progress can't be decoded

A new leader dropped the error of a progress record without a log line and ran the job from the start, although its tasks may be done.

TestJobWithUnreadableProgressDoesNotRun failed before and passes now.

--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -89,6 +89,8 @@
 	// jobsRevision is where the next watch of the jobs continues.
 	jobsRevision model.Revision
 	jobsRetry    readRetry
+	// unreadableJobs are the jobs whose progress can't be decoded.
+	unreadableJobs map[job.ID]bool
 	// workers are the workers that the platform lists. workersRevision is where the next watch continues, 0 for a read
 	// of the whole list, which is made again at resyncWorkersAt.
 	workers         map[model.WorkerID]job.Worker
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -30,15 +30,21 @@
 	takeover.Interference, _ = ev.Interference.Value.(*job.Interference)
 	if ev.Interference.Err != nil {
 		// The interference slopes are lost and have to be learned again.
-		c.notify(notice.RecordRefused, dispatch.Attr{Key: "key", Value: ev.Interference.Key},
-			dispatch.Attr{Key: "error", Value: ev.Interference.Err.Error()})
+		c.refuseRecord(ev.Interference)
 	}
 	d.SetRoutes(c.config.current.Routes)
 	d.Recover(now, takeover)
 	progress := make(map[job.ID]*job.Progress, len(ev.Progress))
+	l.unreadableJobs = make(map[job.ID]bool)
 	for _, r := range ev.Progress {
-		if p, ok := r.Value.(*job.Progress); ok {
+		switch p := r.Value.(type) {
+		case *job.Progress:
 			progress[p.Job] = p
+		case nil:
+			if r.Err != nil {
+				l.unreadableJobs[job.IDOf(r.Key)] = true
+				c.refuseRecord(r)
+			}
 		}
 	}
 	c.loadJobs(now, ev.Jobs, progress, false)
@@ -48,16 +54,23 @@
 	c.tickLeader(now)
 }
 
-// loadJobs passes stored jobs to the dispatcher.
+// refuseRecord logs that a record can't be decoded.
+func (c *Core) refuseRecord(r job.Record) {
+	c.notify(notice.RecordRefused, dispatch.Attr{Key: "key", Value: r.Key},
+		dispatch.Attr{Key: "error", Value: r.Err.Error()})
+}
+
+// loadJobs passes stored jobs to the dispatcher, but for those whose progress can't be read: their tasks may be done.
 func (c *Core) loadJobs(now time.Time, records []job.Record, progress map[job.ID]*job.Progress, sinceTakeover bool) {
 	for _, r := range records {
 		switch j := r.Value.(type) {
 		case *job.Job:
-			c.leadership.dispatcher.AddJob(now, *j, progress[j.ID], sinceTakeover)
+			if !c.leadership.unreadableJobs[j.ID] {
+				c.leadership.dispatcher.AddJob(now, *j, progress[j.ID], sinceTakeover)
+			}
 		case nil:
 			if r.Err != nil {
-				c.notify(notice.RecordRefused, dispatch.Attr{Key: "key", Value: r.Key},
-					dispatch.Attr{Key: "error", Value: r.Err.Error()})
+				c.refuseRecord(r)
 			}
 		}
 	}
--- a/internal/coordination/scheduler/succession_test.go
+++ b/internal/coordination/scheduler/succession_test.go
@@ -162,3 +162,28 @@
 	assert.Equal(t, c.leaders()[0], first)
 	assert.Assert(t, first.core.leadership.epoch > epoch, "the leader goes on under its old epoch")
 }
+
+// Guards against a job that a new leader runs from the start because it can't read how far the job has come.
+func TestJobWithUnreadableProgressDoesNotRun(t *testing.T) {
+	c := newCluster(t, "a")
+	c.run(time.Second)
+	n := c.nodes[0]
+	steps := []job.Step{{Tasks: 1}}
+	n.core.leadership.stage = loading
+	c.step(n, StateRead{
+		Term: n.core.leadership.term,
+		Jobs: []job.Record{
+			{Key: job.Key("good"), Value: &job.Job{ID: "good", Steps: steps}},
+			{Key: job.Key("bad"), Value: &job.Job{ID: "bad", Steps: steps}},
+		},
+		Progress: []job.Record{{Key: job.ProgressKey("bad"), Err: errNoResponse}},
+	})
+	c.step(n, JobsRead{
+		Term: n.core.leadership.term, Complete: true,
+		Jobs: []job.Record{{Key: job.Key("bad"), Value: &job.Job{ID: "bad", Steps: steps}}},
+	})
+	for id, known := range map[job.ID]bool{"good": true, "bad": false} {
+		c.step(n, InspectRequested{ReplyTo: 1, Job: id})
+		assert.Equal(t, n.replies[1].(Inspection).Known, known, id)
+	}
+}
