Bound the occurrences that progress of an earlier release can open

A record of an earlier release with a task of an occurrence far beyond the job's last one would let a new leader count up to that number; before, the number of times bounded it. TestRecurringJobOfAnEarlierReleaseIsContinued has such a task now and passes.

--- a/internal/coordination/dispatch/occurrence.go
+++ b/internal/coordination/dispatch/occurrence.go
@@ -141,16 +141,16 @@
 	if j.Times == 0 {
 		return
 	}
-	unfinished, opened := p.Unfinished, p.Opened
+	unfinished, opened := p.Unfinished, min(p.Opened, j.Times)
 	if opened == 0 {
-		unfinished, opened = unfinishedOccurrences(p, j.tasksPerOccurrence())
+		unfinished, opened = j.unfinishedOccurrences(p)
 	}
 	for _, number := range unfinished {
-		if number < j.Times {
+		if number < opened {
 			d.openOccurrence(j, number, now)
 		}
 	}
-	j.opened = min(opened, j.Times)
+	j.opened = opened
 	if len(j.occurrences) < j.opened {
 		d.markStarted(j)
 	}
@@ -161,14 +161,15 @@
 
 // unfinishedOccurrences returns which occurrences are unfinished, and how many have been opened, by a record of an earlier
 // release, which lists each task that is done.
-func unfinishedOccurrences(p *job.Progress, tasksPerOccurrence int) (unfinished []int, opened int) {
-	done := make(map[int]int)
+func (j *jobState) unfinishedOccurrences(p *job.Progress) (unfinished []int, opened int) {
+	tasksPerOccurrence, done := j.tasksPerOccurrence(), make(map[int]int)
 	for key, stored := range p.Tasks {
 		opened = max(opened, key.Occurrence+1)
 		if stored.Done {
 			done[key.Occurrence]++
 		}
 	}
+	opened = min(opened, j.Times)
 	for number := range opened {
 		if done[number] < tasksPerOccurrence {
 			unfinished = append(unfinished, number)
--- a/internal/coordination/dispatch/occurrence_test.go
+++ b/internal/coordination/dispatch/occurrence_test.go
@@ -72,11 +72,13 @@
 	for _, key := range []job.TaskKey{{Occurrence: 0}, {Occurrence: 0, Index: 1}, {Occurrence: 1}, {Occurrence: 3}, {Occurrence: 3, Index: 1}} {
 		done[key] = job.TaskProgress{Done: true}
 	}
+	// A task that no occurrence has.
+	done[job.TaskKey{Occurrence: 1 << 40}] = job.TaskProgress{Done: true}
 	sim.store.progress["a"] = &job.Progress{Job: "a", Tasks: done}
 	sim.electLeader(0)
 	sim.logEvents = nil
 	sim.advanceTime(2 * time.Second)
 	assert.Equal(t, sim.phase("a"), job.Completed)
-	assert.Equal(t, sim.workers["w00"].sequence+sim.workers["w01"].sequence, int64(2*10-len(done)))
+	assert.Equal(t, sim.workers["w00"].sequence+sim.workers["w01"].sequence, int64(2*10-5))
 	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
 }
