Take a commit record that can't be decoded for that of a leader that may still act

Found by reading predecessorGraceAfter again: a commit record that can't be decoded counted as if there had never been a leader, so that the new one waited for nobody. It now waits for the full time. TestUnreadableCommitRecordProvesNothing failed before (0 s) and passes now.

--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -288,8 +288,11 @@
 // this one led nothing if it finds a claim of its own. The leaders before it may act for as long as it had to expect.
 func (c *Core) predecessorGraceAfter(r *job.Record) time.Duration {
 	record, ok := r.Value.(*job.CommitRecord)
-	if !ok {
-		return 0
+	switch {
+	case r.Revision == 0:
+		return 0 // There never was a leader.
+	case !ok:
+		return c.settings.MaxUnconfirmed
 	}
 	// An entry that restored its leader record has not necessarily written the commit record after that.
 	leader := c.leadership.leader
--- a/internal/coordination/scheduler/succession_test.go
+++ b/internal/coordination/scheduler/succession_test.go
@@ -147,6 +147,16 @@
 	assert.Equal(t, c.leaders()[0].core.leadership.predecessorGrace, testMaxUnconfirmed)
 }
 
+// Guards against a commit record that can't be decoded and is taken for the lack of one, as if there had been no leader yet.
+func TestUnreadableCommitRecordProvesNothing(t *testing.T) {
+	c := newCluster(t)
+	c.revision = 7
+	c.records[job.KeyCommit] = job.Record{Key: job.KeyCommit, Revision: c.revision, Err: errNoResponse}
+	c.nodes = append(c.nodes, c.startNode("a", 1))
+	c.run(time.Second)
+	assert.Equal(t, c.leaders()[0].core.leadership.predecessorGrace, testMaxUnconfirmed)
+}
+
 // Guards against a leader that restores its record after its lease has ended and goes on under its old epoch, although
 // another entry has led, and resigned, in between.
 func TestRestoredLeaderNoticesThatAnotherOneHasLed(t *testing.T) {
