Take any other boot in a worker's inventory for a restart

Not seen by callers; found by reading while looking for other causes of the users' tasks that run twice.

Cause: a worker that restarts under its id with its clock set back names an earlier boot. The leader took its inventories for those of the life that it knew, ignored ends with sequence numbers of that life, and acknowledged them by its numbers.

Any other boot resets what is known of the worker. Holds follow each other, so that answers can't alternate between two lives.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -20,7 +20,7 @@
 //   - A hold is the long-polling heartbeat to a worker: it renews leases, acknowledges ends and returns the worker's
 //     inventory.
 //   - A relay is an entry that carries the leader's orders to workers of a large fleet.
-//   - A boot is one lifetime of a worker process. A worker that restarts keeps its id and gets a higher boot number.
+//   - A boot is one lifetime of a worker process. A worker that restarts keeps its id and gets another boot number.
 //   - A worker is fenced once it has answered under the leader's epoch: from then on it refuses orders of earlier
 //     leaders.
 //   - The registry is the list of workers in the store. A worker is open while its entry there permits starts, and
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -118,12 +118,12 @@
 
 func (d *Dispatcher) applyInventory(now, sent time.Time, w *worker, inv job.Inventory) {
 	d.load.inventories++
-	if w.boot != 0 && inv.Boot > w.boot {
+	if w.boot != 0 && inv.Boot != w.boot {
 		d.workerRestarted(now, w, inv.Boot)
 	} else {
 		w.deliveredAcknowledgement = max(w.deliveredAcknowledgement, w.sentAcknowledgement)
 	}
-	w.boot = max(w.boot, inv.Boot)
+	w.boot = inv.Boot
 	w.knownAddress = w.holdAddress
 	if sent.After(w.claimedAt) {
 		w.claimedAt = time.Time{}
