List tasks with uncommitted ends in the registry entry of a closed worker

The store was down and leases ran out meanwhile; just after its return all entries were killed, and the new leader started the task 5 s after its end.

Cause: after such an outage the workers are missing in the list for a moment, and the leader closes them. The entry of a closed worker listed the tasks that ran there. A new leader waits for open workers and for the listed tasks, so that it started the others before their worker had answered.

Why it works: the entry lists these tasks, too, until their ends may be acknowledged, and a new leader holds each back until every worker that lists it is accounted for.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -353,6 +353,9 @@
 	for w, ends := range b.processedEnds {
 		if !w.dead && ends.boot == w.boot {
 			w.lastCommittedEnd = max(w.lastCommittedEnd, ends.sequence)
+			w.uncommittedEnds = slices.DeleteFunc(w.uncommittedEnds, func(e job.EndedTask) bool {
+				return e.Sequence <= w.lastCommittedEnd
+			})
 		}
 	}
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -24,7 +24,8 @@
 //   - A worker is fenced once it has answered under the leader's epoch: from then on it refuses orders of earlier
 //     leaders.
 //   - The registry is the list of workers in the store. A worker is open while its entry there permits starts, and
-//     closed afterwards; the entry of a closed worker lists the tasks that may still be running there.
+//     closed afterwards; the entry of a closed worker lists the tasks that may still be running there, and those whose ends
+//     there are not committed.
 //   - A worker of the registry is accounted for once the new leader knows what runs on it: it has answered, is proved
 //     gone, or every lease of earlier leaders has expired.
 package dispatch
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -145,6 +145,7 @@
 	for i := range inv.Ended {
 		if e := &inv.Ended[i]; e.Sequence > w.lastProcessedEnd {
 			w.lastProcessedEnd = e.Sequence
+			w.uncommittedEnds = append(w.uncommittedEnds, *e)
 			d.recordEnd(now, w, e)
 		}
 	}
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -17,8 +17,9 @@
 type recovery struct {
 	// unaccounted are the open workers of the registry that are not accounted for. Any task may be running on them.
 	unaccounted map[model.WorkerID]bool
-	// possiblyRunning are the tasks that may be running on a closed worker that is not accounted for.
-	possiblyRunning map[job.Task]model.WorkerID
+	// possiblyRunning counts, for each task, how often closed workers that are not accounted for may be running it, or may
+	// list an end of it that no leader has committed.
+	possiblyRunning map[job.Task]int
 	// leasesExpiredAt is when every lease that an earlier leader requested has expired.
 	leasesExpiredAt time.Time
 	// predecessorsStoppedAt is when no earlier leader can start anything any more.
@@ -43,7 +44,7 @@
 	d.relays.settledAt = now.Add(relaySettleTime)
 	lease := time.Duration(float64(d.settings.MaxLease) * (1 + clockSkew))
 	d.recovery = recovery{
-		unaccounted: make(map[model.WorkerID]bool), possiblyRunning: make(map[job.Task]model.WorkerID),
+		unaccounted: make(map[model.WorkerID]bool), possiblyRunning: make(map[job.Task]int),
 		leasesExpiredAt:       now.Add(state.PredecessorGrace + lease + leaseExpiryMargin),
 		predecessorsStoppedAt: now.Add(state.PredecessorGrace), beganAt: now,
 	}
@@ -56,7 +57,7 @@
 			d.recovery.unaccounted[r.ID] = true
 		}
 		for _, t := range r.Runs {
-			d.recovery.possiblyRunning[t] = r.ID
+			d.recovery.possiblyRunning[t]++
 		}
 	}
 	d.interference.restoreSlopes(now, state.Interference)
@@ -70,7 +71,9 @@
 		return
 	}
 	for _, t := range w.inheritedEntry.Runs {
-		delete(d.recovery.possiblyRunning, t)
+		if d.recovery.possiblyRunning[t]--; d.recovery.possiblyRunning[t] == 0 {
+			delete(d.recovery.possiblyRunning, t)
+		}
 	}
 	w.inheritedEntry = nil
 	d.updateOpen(w)
@@ -112,7 +115,7 @@
 	return len(d.recovery.unaccounted) == 0 || j.sinceTakeover
 }
 
-// mayBeRunning reports whether a task may be running on a closed worker that is not accounted for.
+// mayBeRunning reports whether a task may be running, or may have ended, on a closed worker that is not accounted for.
 func (d *Dispatcher) mayBeRunning(t *task) bool {
 	_, possible := d.recovery.possiblyRunning[t.Task]
 	return possible
--- a/internal/coordination/dispatch/registry.go
+++ b/internal/coordination/dispatch/registry.go
@@ -56,6 +56,10 @@
 		for _, run := range w.orderedRuns {
 			r.Runs = append(r.Runs, run.Task)
 		}
+		// A new leader knows nothing of these ends before the worker has listed them to it.
+		for _, end := range w.uncommittedEnds {
+			r.Runs = append(r.Runs, end.Task)
+		}
 	}
 	return r
 }
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -74,6 +74,8 @@
 	// committed, the one that the hold in flight acknowledges, and the highest one that the worker is known to have
 	// got an acknowledgement of.
 	lastProcessedEnd, lastCommittedEnd, sentAcknowledgement, deliveredAcknowledgement int64
+	// uncommittedEnds are the processed ends above lastCommittedEnd.
+	uncommittedEnds []job.EndedTask
 	// requestedWait is how long the hold in flight lets the worker delay its answer.
 	requestedWait time.Duration
 	// answeredPromptly is set if the last hold was answered so promptly that the worker can't have restarted since it
@@ -261,6 +263,7 @@
 	d.recordCrash(w, proofRestarted)
 	w.boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
 		w.leaseEnd, w.clock = boot, 0, 0, 0, 0, 0, 0
+	w.uncommittedEnds = nil
 	w.fenced, w.answeredPromptly, w.clockAt = false, false, now
 }
 
--- a/internal/state/job/record.go
+++ b/internal/state/job/record.go
@@ -95,7 +95,8 @@
 	Address string
 	// Boot is the newest boot that was known when the registry was written; 0 if none was.
 	Boot BootID
-	// NoMoreStarts means that no more starts are sent to the worker; Runs then lists the tasks that may still run on it.
+	// NoMoreStarts means that no more starts are sent to the worker; Runs then lists the tasks that may still run on it, or
+	// whose ends there are not committed.
 	NoMoreStarts bool
 	Runs         []Task
 }
