Show that a refused connection is taken as proof that a worker has left

A worker that drains is cut off by something that refuses connections, and its entry in the list expires.

--- /dev/null
+++ b/internal/coordination/dispatch/leaving_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
+)
+
+// Guards against two runs of one task: a worker that drains is cut off by something that refuses connections, and its
+// entry in the list expires. The leader took the refusal as proof that the worker had left, and started its tasks elsewhere.
+func TestRefusedConnectionIsNoProofThatAWorkerHasLeft(t *testing.T) {
+	sim := newSimulation(1, 3)
+	for _, s := range sim.workers {
+		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
+	}
+	sim.advanceTime(time.Second)
+	sim.submit(plainJob("a", 12))
+	sim.advanceTime(time.Second)
+	far := sim.sortedWorkers()[0]
+	runs := len(far.runs)
+	assert.Assert(t, runs > 0)
+	far.draining = true
+	sim.advanceTime(time.Second)
+	far.refusing = true
+	sim.advanceTime(time.Second)
+	far.unlisted = true
+	sim.advanceTime(3 * time.Second)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, len(far.runs), runs, "the leases have not ended yet")
+
+	// The tasks start elsewhere once the leases have ended.
+	sim.advanceTime(testMaxLease)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, runningTasks(sim), 12)
+}
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -36,7 +36,9 @@
 	endedRuns   []job.EndedTask
 	sequence    int64
 	unreachable bool
-	draining    bool
+	// refusing means that connections to the worker are refused while it runs on.
+	refusing bool
+	draining bool
 	unlisted    bool
 	// reportedPercent is the progress that the worker reports of every run.
 	reportedPercent int
@@ -123,6 +125,10 @@
 		sim.after(10*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Refusal: job.RefusedBoot}) })
 		return
 	}
+	if s != nil && s.refusing {
+		sim.after(5*time.Millisecond, func() { finish(job.Inventory{}, refusedConnection) })
+		return
+	}
 	if s == nil || s.unreachable || sim.withProbability(sim.faults.lost) {
 		sim.after(h.Wait+500*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Err: errNoResponse}) })
 		return
@@ -134,6 +140,10 @@
 func (sim *simulation) answerHold(
 	s *simWorker, h Hold, until time.Time, finish func(job.Inventory, job.OrderResponse),
 ) {
+	if s.refusing {
+		sim.after(5*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Err: errNoResponse}) })
+		return
+	}
 	if s.unreachable {
 		// It became so while the hold waited there.
 		sim.after(500*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Err: errNoResponse}) })
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -269,7 +269,12 @@
 	return share > 0 && sim.random.Float64() < share
 }
 
-var errNoResponse = verdict.MayHaveRunError("no answer", nil)
+var (
+	errNoResponse = verdict.MayHaveRunError("no answer", nil)
+	// refusedConnection is the response to an order while nothing listens at the worker's address, or a device between
+	// refuses the connection.
+	refusedConnection = job.OrderResponse{Err: verdict.NotRunError("connection refused", nil), NoListener: true}
+)
 
 // listener returns the worker that an order reaches, or nil, and whether another worker listens at its address. Of
 // workers at one address, the one that started last listens.
@@ -300,6 +305,8 @@
 	switch {
 	case another:
 		sim.after(10*time.Millisecond, func() { finish(job.OrderResponse{Refusal: job.RefusedBoot}) })
+	case s != nil && s.refusing:
+		sim.after(5*time.Millisecond, func() { finish(refusedConnection) })
 	case s == nil || s.unreachable || sim.withProbability(sim.faults.lost):
 		timeout()
 	case sim.withProbability(sim.faults.late):
