--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -39,7 +39,7 @@
 	// refusing means that connections to the worker are refused while it runs on.
 	refusing bool
 	draining bool
-	unlisted    bool
+	unlisted bool
 	// reportedPercent is the progress that the worker reports of every run.
 	reportedPercent int
 	// maxListedEnds is the number of ends that an inventory lists; 0 means all.
