Take no refused connection as proof that a worker has left

Cause: when a worker drained, was missing in the list and refused connections, the leader took it for gone (proof "left") and started its tasks elsewhere at once. A refused connection shows only that nobody listens. A process that shuts down closes its listener and leaves the list before its tasks end, and something between may refuse connections while the entry expires.

--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -98,14 +98,13 @@
 		d.withoutHold = append(d.withoutHold, w)
 	}
 	w.holdInFlight, w.answeredPromptly = false, false
+	w.refused = response.NoListener
 	w.nextHold = now.Add(holdRetryInterval)
 	switch {
 	case response.Refusal == job.RefusedEpoch:
 		d.emit(Deposed{Reason: "worker " + string(id) + " is fenced by a newer epoch"})
 	case response.Refusal == job.RefusedBoot:
 		d.refusedByAnotherBoot(now, w, w.holdAddress)
-	case response.NoListener && w.Draining && !w.listed && w.isKnownAt(w.holdAddress):
-		d.markDead(now, w, "left")
 	case response.Err != nil && response.FromRelay:
 		d.avoidRelay(now, w)
 	case response.Err != nil || response.Refusal != job.RefusedNone:
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -92,6 +92,9 @@
 	heardAt time.Time
 	// unreachable is set while the worker has not answered recently.
 	unreachable bool
+	// refused is set while connections to the worker are refused. That does not show that it runs nothing: it may close its
+	// listener before its tasks end, or something between may refuse.
+	refused bool
 	// inventories counts the inventories of the worker.
 	inventories uint64
 	// runs are the runs that are on the worker, or may be; orderedRuns has them in the order in which they became
@@ -307,7 +310,7 @@
 			w.unreachable = true
 			d.updateOpen(w)
 			d.logEvent(notice.WorkerUnreachable, Attr{Key: "worker", Value: w.ID},
-				Attr{Key: "age", Value: now.Sub(w.answeredAt)})
+				Attr{Key: "age", Value: now.Sub(w.answeredAt)}, Attr{Key: "refused", Value: w.refused})
 		case w.unreachable:
 			d.checkLeases(now, w)
 		}
--- a/internal/state/job/worker.go
+++ b/internal/state/job/worker.go
@@ -116,7 +116,7 @@
 	Refusal RefusalKind
 	// Clock is the reading of the worker's monotonic clock, or 0 if the answer contained none.
 	Clock time.Duration
-	// NoListener means that no process listens on the worker's address.
+	// NoListener means that the connection was refused.
 	NoListener bool
 	// FromRelay means that Err is what the entry that carried the order met with the worker, and not a failure between
 	// that entry and the leader.
