Start nothing on a restarted worker before a commit shows that no other leader was elected

A worker that restarts under its id has forgotten the epochs. A leader that was replaced without knowing it acts for up to 6 s after the store's last confirmation; until its successor has reached the new boot, that worker carries out its starts, also of tasks that the successor has started elsewhere.

The registry is written with the new boot now, and the worker gets starts only once that commit has taken effect: an election rewrites the commit record, so no other leader was elected before, and one that is elected later waits for this worker. The same holds for a new leader whose first answer from a worker is of another boot than the registry says. The stored entry of a worker that is not accounted for can't change, so it no longer causes writes.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -337,7 +337,7 @@
 		for _, entry := range b.registry {
 			d.registered[entry.ID] = true
 			if w := d.workers[entry.ID]; w != nil {
-				w.storedOpen = !entry.NoMoreStarts
+				w.storedOpen, w.storedBoot = !entry.NoMoreStarts, entry.Boot
 				d.updateOpen(w)
 			}
 		}
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -52,7 +52,7 @@
 		w := d.addWorker(r.ID, r.Address)
 		w.knownAddress = r.Address
 		d.registered[r.ID] = true
-		w.inheritedEntry, w.storedOpen = &r, !r.NoMoreStarts
+		w.inheritedEntry, w.storedOpen, w.storedBoot = &r, !r.NoMoreStarts, r.Boot
 		if !r.NoMoreStarts {
 			d.recovery.unaccounted[r.ID] = true
 		}
--- a/internal/coordination/dispatch/registry.go
+++ b/internal/coordination/dispatch/registry.go
@@ -36,11 +36,13 @@
 	return &job.Registry{Workers: slices.Clone(b.registry)}
 }
 
-// updateOpen closes a worker at once, but opens it only if the stored registry has it as open. If the stored entry
-// differs, the registry is written.
+// updateOpen closes a worker at once, but opens it only if the stored registry has it, with its present boot, as open: a
+// worker that has restarted no longer refuses the orders of a leader that was replaced, and the commit shows that this one
+// was not. If the stored entry differs, the registry is written; that of a worker which is not accounted for can't change.
 func (d *Dispatcher) updateOpen(w *worker) {
-	w.open = w.storedOpen && !w.closedToStarts()
-	if w.storedOpen == w.closedToStarts() && (!w.storedOpen || !d.registry.withoutRuns) {
+	storedOpen := w.storedOpen && (w.boot == 0 || w.storedBoot == w.boot)
+	w.open = storedOpen && !w.closedToStarts()
+	if w.inheritedEntry == nil && storedOpen == w.closedToStarts() && (!storedOpen || !d.registry.withoutRuns) {
 		d.registry.dirty = true
 	}
 }
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -58,8 +58,9 @@
 	// listed is set while the platform's VM list names the worker.
 	listed bool
 	// open is set while the worker may get starts. That requires storedOpen: the registry in the store has the worker
-	// as open, and no commit in flight closes it.
+	// as open, and no commit in flight closes it. storedBoot is the boot in the stored entry.
 	open, storedOpen bool
+	storedBoot       job.BootID
 	// inheritedEntry is the worker's entry in the registry as an earlier leader wrote it. It is nil once the worker is
 	// accounted for.
 	inheritedEntry *job.RegisteredWorker
