Renew no lease after a hold that got no answer

What callers saw: the tasks of a worker whose process has failed, so that connections to it are refused, started elsewhere up to 1.8 s later than the leases that the worker could have granted allow. Holds that were refused each 0.3 s counted as renewals until the worker counted as unreachable.

A hold after an unanswered one asks for the inventory only, without a wait; the lease is renewed as soon as that is answered. So one lost answer costs a round trip and no lease, and the end of the leases counts from a hold that was sent while the worker still answered. What was said of draining workers only holds for all workers now.

--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -51,9 +51,9 @@
 	if w.answeredPromptly && now.Sub(w.answeredAt) <= acknowledgeWindow {
 		h.Acknowledged = w.lastCommittedEnd
 	}
-	// The lease of an unreachable worker is not renewed: holds that arrive late would postpone the time at which its
-	// leases are known to have expired. A draining worker may have left as soon as a hold gets no answer.
-	if w.fenced && d.answeredRecently(now, w) && (!w.Draining || w.lastHoldAnswered) {
+	// The lease is not renewed after an unanswered hold: if the worker has failed, or the hold arrives late, that would
+	// postpone the time at which its leases are known to have expired.
+	if w.fenced && w.lastHoldAnswered && d.answeredRecently(now, w) {
 		h.LeaseEnd = d.extendLease(now, w)
 		if w.lastProcessedEnd == w.lastCommittedEnd && !w.unreachable && w.claimedAt.IsZero() {
 			h.Wait = w.holdWaitLimit()
--- /dev/null
+++ b/internal/coordination/dispatch/lease_test.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/jujubearch/jujubearch/internal/state/job"
+)
+
+// busyWorker runs tasks of one job on three workers and returns one of these.
+func busyWorker(t *testing.T, sim *simulation, tasks int) *simWorker {
+	for _, s := range sim.workers {
+		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
+	}
+	sim.advanceTime(time.Second)
+	sim.submit(plainJob("a", tasks))
+	sim.advanceTime(2 * time.Second)
+	busy := sim.sortedWorkers()[0]
+	assert.Assert(t, len(busy.runs) > 0)
+	return busy
+}
+
+// Guards against tasks that wait longer than one lease after their worker has failed, because holds that it refused
+// counted as renewals of its leases.
+func TestUnansweredHoldsDoNotRenewLeases(t *testing.T) {
+	sim := newSimulation(1, 3)
+	busyWorker(t, sim, 12).refusing = true
+	const stepsAndCommit = 200 * time.Millisecond
+	sim.advanceTime(time.Duration(float64(testMaxLease)*(1+clockSkew)) + leaseExpiryMargin + stepsAndCommit)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, runningTasks(sim), 12)
+}
