Judge by its revision in the store whether a job is new to all leaders

A new leader that still waits for a worker places new jobs at once, since no earlier leader can have started them. A job counted as new if it was read after all earlier leaders had stopped. If the read was late, an earlier leader that the store still answered may have read the job sooner and started it on the worker that is waited for.

A job is new now only if its revision is above one that the store had after the earlier leaders had stopped: that of the election if there are none, otherwise of the first commit sent after that time, which is requested if nothing is to be written. The test fails with the time of the read as criterion (4 second starts).

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -281,6 +281,10 @@
 	b := c.inFlight
 	c.recordRevision, c.backoff, c.confirmedAt = revision, 0, b.sentAt
 	c.inFlight = nil
+	if applied {
+		// The revision of an earlier copy may be from before this one was sent.
+		d.recovery.settle(b.sentAt, revision)
+	}
 	d.applyBatch(now, b)
 	if b.confirmation {
 		d.checkWorkers(now)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -163,6 +163,7 @@
 	d.openDueOccurrences(now)
 	d.retryOrders(now)
 	d.checkWorkers(now)
+	d.requestSettling(now)
 	d.evacuate(now)
 	d.relocate(now)
 	d.sampleLoad(now)
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -22,8 +22,10 @@
 	possiblyRunning map[job.Task]int
 	// leasesExpiredAt is when every lease that an earlier leader requested has expired.
 	leasesExpiredAt time.Time
-	// predecessorsStoppedAt is when no earlier leader can start anything any more.
+	// predecessorsStoppedAt is when no earlier leader can start anything any more. settledRevision is a revision that the
+	// store had after that; 0 while none is known.
 	predecessorsStoppedAt time.Time
+	settledRevision       model.Revision
 	beganAt               time.Time
 }
 
@@ -48,6 +50,9 @@
 		leasesExpiredAt:       now.Add(state.PredecessorGrace + lease + leaseExpiryMargin),
 		predecessorsStoppedAt: now.Add(state.PredecessorGrace), beganAt: now,
 	}
+	if state.PredecessorGrace == 0 {
+		d.recovery.settledRevision = state.CommitRevision
+	}
 	for _, r := range state.Registry {
 		w := d.addWorker(r.ID, r.Address)
 		w.knownAddress = r.Address
@@ -121,8 +126,24 @@
 	return possible
 }
 
-// AcceptedSinceTakeover reports whether a job that is seen for the first time now can't have been started by an earlier
-// leader.
-func (d *Dispatcher) AcceptedSinceTakeover(now time.Time) bool {
-	return now.After(d.recovery.predecessorsStoppedAt)
+// StoredSinceTakeover reports whether a job that was stored at a revision can't have been started by an earlier leader. When
+// it is read says nothing: an earlier leader may have read it sooner.
+func (d *Dispatcher) StoredSinceTakeover(revision model.Revision) bool {
+	return d.recovery.settledRevision > 0 && revision > d.recovery.settledRevision
+}
+
+// settle records the revision of a commit. The first one that was sent after all earlier leaders have stopped tells new jobs
+// from older ones.
+func (r *recovery) settle(sent time.Time, revision model.Revision) {
+	if r.settledRevision == 0 && sent.After(r.predecessorsStoppedAt) {
+		r.settledRevision = revision
+	}
+}
+
+// requestSettling requests a commit once all earlier leaders have stopped, so that new jobs need not wait for workers that
+// are not accounted for.
+func (d *Dispatcher) requestSettling(now time.Time) {
+	if d.recovery.settledRevision == 0 && len(d.recovery.unaccounted) > 0 && now.After(d.recovery.predecessorsStoppedAt) {
+		d.RequestConfirmation()
+	}
 }
--- a/internal/coordination/dispatch/recover_test.go
+++ b/internal/coordination/dispatch/recover_test.go
@@ -139,3 +139,46 @@
 	}
 	return len(tasks)
 }
+
+// Guards against two runs of one task: a job that an earlier leader may have started counted as new, since the new leader read
+// it only after the earlier ones had stopped.
+func TestJobStoredBeforeEarlierLeadersStoppedIsNotNew(t *testing.T) {
+	sim := newSimulation(1, 2)
+	for _, s := range sim.workers {
+		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
+	}
+	sim.advanceTime(time.Second)
+	far := sim.workers["w00"]
+	far.unreachable = true
+	const grace = 2 * time.Second
+	sim.electLeader(grace)
+	sim.advanceTime(grace - 100*time.Millisecond)
+
+	// An earlier leader reads the job and starts it on the worker that only it reaches.
+	j := plainJob("a", 4)
+	j.Queue, j.Accepted = "q", sim.now
+	sim.store.revision++
+	stored := sim.store.revision
+	sim.store.jobs = append(sim.store.jobs, j)
+	sim.jobsByID[j.ID] = &j
+	for i := range 4 {
+		run := job.Run{Task: job.Task{Job: "a", Index: i}, Number: 1}
+		response := sim.start(far, Start{
+			Target: Target{Worker: far.id, Epoch: far.epoch}, Run: run, LeaseEnd: far.clock(sim.now) + testMaxLease,
+		})
+		assert.Equal(t, response.Refusal, job.RefusedNone)
+	}
+
+	sim.advanceTime(time.Second)
+	sim.leader.AddJob(sim.now, j, nil, sim.leader.StoredSinceTakeover(stored))
+	sim.advanceTime(2 * time.Second)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+
+	// A job that is stored now does not wait for that worker.
+	sim.submit(plainJob("b", 2))
+	sim.advanceTime(time.Second)
+	assert.Equal(t, len(sim.workers["w01"].runs), 2)
+	sim.advanceTime(10 * time.Second)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, runningTasks(sim), 6)
+}
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -164,7 +164,8 @@
 	j.Queue, j.Accepted = "q", sim.now
 	sim.store.jobs = append(sim.store.jobs, j)
 	sim.jobsByID[j.ID] = &j
-	sim.leader.AddJob(sim.now, j, nil, sim.leader.AcceptedSinceTakeover(sim.now))
+	sim.store.revision++
+	sim.leader.AddJob(sim.now, j, nil, sim.leader.StoredSinceTakeover(sim.store.revision))
 }
 
 // advanceTime runs the simulation for some time.
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -47,7 +47,7 @@
 			}
 		}
 	}
-	c.loadJobs(now, ev.Jobs, progress, false)
+	c.loadJobs(now, ev.Jobs, progress)
 	l.jobsRevision = ev.Revision
 	c.watchJobs()
 	c.watchWorkers()
@@ -61,12 +61,13 @@
 }
 
 // loadJobs passes stored jobs to the dispatcher, but for those whose progress can't be read: their tasks may be done.
-func (c *Core) loadJobs(now time.Time, records []job.Record, progress map[job.ID]*job.Progress, sinceTakeover bool) {
+func (c *Core) loadJobs(now time.Time, records []job.Record, progress map[job.ID]*job.Progress) {
+	d := c.leadership.dispatcher
 	for _, r := range records {
 		switch j := r.Value.(type) {
 		case *job.Job:
 			if !c.leadership.unreadableJobs[j.ID] {
-				c.leadership.dispatcher.AddJob(now, *j, progress[j.ID], sinceTakeover)
+				d.AddJob(now, *j, progress[j.ID], d.StoredSinceTakeover(r.Revision))
 			}
 		case nil:
 			if r.Err != nil {
@@ -91,7 +92,7 @@
 	}
 	c.readSucceeded(&l.jobsRetry, "jobs")
 	l.jobsRevision = max(l.jobsRevision, ev.Revision)
-	c.loadJobs(now, ev.Jobs, nil, !ev.Complete && l.dispatcher.AcceptedSinceTakeover(now))
+	c.loadJobs(now, ev.Jobs, nil)
 	c.watchJobs()
 }
 
