Bring no removed job back with a read that began before its removal

Ended jobs are removed from the store after two minutes. When the store has lost its history, the leader reads all jobs anew; a page that was read before a removal, and returned after it, brought the job back without its progress, so that all its tasks ran again. The leader keeps the revisions of the last removals now and ignores older records of these jobs, until a read from a later revision has returned. A new job with the same id has a later revision and is accepted.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -335,6 +335,7 @@
 	}
 	for _, j := range b.removedJobs {
 		delete(d.jobs, j.ID)
+		d.removedJobs[j.ID] = d.commits.recordRevision
 	}
 	if b.registry != nil {
 		d.registered = make(map[model.WorkerID]bool, len(b.registry))
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -59,6 +59,9 @@
 
 	routes map[job.Queue]job.Route
 	jobs   map[job.ID]*jobState
+	// removedJobs holds the revisions at which jobs were removed from the store lately: a read that began before that may
+	// still return them.
+	removedJobs map[job.ID]model.Revision
 	// openJobs lists the jobs that have not ended, in the order of compareJobs.
 	openJobs []*jobState
 	// shortJobs are those of them with short tasks that reserve CPU, in the same order.
@@ -116,7 +119,8 @@
 	return &Dispatcher{
 		settings: settings, epoch: epoch, lastRun: job.RunNumber(epoch) << runBits,
 		routes: make(map[job.Queue]job.Route), jobs: make(map[job.ID]*jobState),
-		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
+		removedJobs: make(map[job.ID]model.Revision),
+		workers:     make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
 		refuted:     make(map[model.WorkerID]refutedEntry),
 		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
 		relays: relays{offered: make(map[model.EntryID]*relayState)},
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -118,12 +119,12 @@
 	return job.Queued
 }
 
-// AddJob adds an accepted job. sinceTakeover is true if no earlier leader can have started any of it.
-func (d *Dispatcher) AddJob(now time.Time, j job.Job, progress *job.Progress, sinceTakeover bool) {
-	if _, known := d.jobs[j.ID]; known {
+// AddJob adds an accepted job that was stored at a revision.
+func (d *Dispatcher) AddJob(now time.Time, j job.Job, progress *job.Progress, revision model.Revision) {
+	if _, known := d.jobs[j.ID]; known || revision < d.removedJobs[j.ID] {
 		return
 	}
-	state := &jobState{Job: j, sinceTakeover: sinceTakeover}
+	state := &jobState{Job: j, sinceTakeover: d.storedSinceTakeover(revision)}
 	for i := range j.Steps {
 		state.sizes = append(state.sizes, reservedSize(&j.Steps[i]))
 	}
@@ -148,6 +149,12 @@
 	d.passNeeded = true
 }
 
+// ForgetRemovals is called when all changes of jobs up to a revision have been read: no later read returns a job that was
+// removed before.
+func (d *Dispatcher) ForgetRemovals(revision model.Revision) {
+	maps.DeleteFunc(d.removedJobs, func(_ job.ID, removed model.Revision) bool { return removed <= revision })
+}
+
 // memoryRatioWeight is the weight of a new job in the moving average of the tasks' ratio of memory to CPU.
 const memoryRatioWeight = 0.05
 
--- a/internal/coordination/dispatch/rank_test.go
+++ b/internal/coordination/dispatch/rank_test.go
@@ -23,7 +23,7 @@
 		j.Steps[0].Tasks, j.Steps[0].BestEffort, j.Steps[0].MaxPerWorker = 150, bestEffort, 3
 		j.Queue, j.Accepted = "q", e.sim.now
 		e.sim.jobsByID[j.ID] = &j
-		d.AddJob(e.sim.now, j, nil, true)
+		d.AddJob(e.sim.now, j, nil, 1)
 		s := d.jobs[j.ID].occurrences[0].steps[0]
 		place(d.newPass(e.sim.now), s, d.routes[j.Queue])
 		for _, task := range s.tasks {
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -126,9 +126,9 @@
 	return possible
 }
 
-// StoredSinceTakeover reports whether a job that was stored at a revision can't have been started by an earlier leader. When
+// storedSinceTakeover reports whether a job that was stored at a revision can't have been started by an earlier leader. When
 // it is read says nothing: an earlier leader may have read it sooner.
-func (d *Dispatcher) StoredSinceTakeover(revision model.Revision) bool {
+func (d *Dispatcher) storedSinceTakeover(revision model.Revision) bool {
 	return d.recovery.settledRevision > 0 && revision > d.recovery.settledRevision
 }
 
--- a/internal/coordination/dispatch/recover_test.go
+++ b/internal/coordination/dispatch/recover_test.go
@@ -170,7 +170,7 @@
 	}
 
 	sim.advanceTime(time.Second)
-	sim.leader.AddJob(sim.now, j, nil, sim.leader.StoredSinceTakeover(stored))
+	sim.leader.AddJob(sim.now, j, nil, stored)
 	sim.advanceTime(2 * time.Second)
 	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
 
--- a/internal/coordination/dispatch/short_test.go
+++ b/internal/coordination/dispatch/short_test.go
@@ -21,7 +21,7 @@
 	now := sim.now.Add(passInterval / 10)
 	quick := quickJob("00000000000000ff", 1, 1)
 	quick.Queue, quick.Accepted = "q", now
-	d.AddJob(now, quick, nil, true)
+	d.AddJob(now, quick, nil, 1)
 	d.Advance(now)
 	started := 0
 	for _, a := range d.Actions() {
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -116,7 +116,7 @@
 		Interference: sim.store.slopes,
 	})
 	for _, j := range sim.store.jobs {
-		d.AddJob(sim.now, j, sim.store.progress[j.ID], false)
+		d.AddJob(sim.now, j, sim.store.progress[j.ID], 0)
 	}
 	sim.listWorkers()
 	sim.execute(d)
@@ -165,7 +165,7 @@
 	sim.store.jobs = append(sim.store.jobs, j)
 	sim.jobsByID[j.ID] = &j
 	sim.store.revision++
-	sim.leader.AddJob(sim.now, j, nil, sim.leader.StoredSinceTakeover(sim.store.revision))
+	sim.leader.AddJob(sim.now, j, nil, sim.store.revision)
 }
 
 // advanceTime runs the simulation for some time.
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -62,12 +62,11 @@
 
 // loadJobs passes stored jobs to the dispatcher, but for those whose progress can't be read: their tasks may be done.
 func (c *Core) loadJobs(now time.Time, records []job.Record, progress map[job.ID]*job.Progress) {
-	d := c.leadership.dispatcher
 	for _, r := range records {
 		switch j := r.Value.(type) {
 		case *job.Job:
 			if !c.leadership.unreadableJobs[j.ID] {
-				d.AddJob(now, *j, progress[j.ID], d.StoredSinceTakeover(r.Revision))
+				c.leadership.dispatcher.AddJob(now, *j, progress[j.ID], r.Revision)
 			}
 		case nil:
 			if r.Err != nil {
@@ -93,6 +92,7 @@
 	c.readSucceeded(&l.jobsRetry, "jobs")
 	l.jobsRevision = max(l.jobsRevision, ev.Revision)
 	c.loadJobs(now, ev.Jobs, nil)
+	l.dispatcher.ForgetRemovals(ev.Revision)
 	c.watchJobs()
 }
 
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -350,7 +350,7 @@
 	c := newCluster(t, "a")
 	c.run(time.Second)
 	n := c.nodes[0]
-	n.core.leadership.dispatcher.AddJob(c.now, job.Job{ID: "j", Queue: "q", Steps: []job.Step{{Tasks: 1}}}, nil, true)
+	n.core.leadership.dispatcher.AddJob(c.now, job.Job{ID: "j", Queue: "q", Steps: []job.Step{{Tasks: 1}}}, nil, 1)
 	c.step(n, CancelRequested{ReplyTo: 1, Job: "j"})
 	c.step(n, CancelRequested{ReplyTo: 2, Job: "unknown"})
 	assert.Equal(t, n.replies[2], CancelOutcome{})
