Keep bulk log lines from displacing the lines that explain a failure

After a task had run twice, the leader's log of that minute was gone: the lines of each placement and end made up most of it, and operators keep only the end of each log. A line that found the queue of the writer full was dropped whatever it said.

The events of normal operation that are logged for each task or request are now marked as bulk. Their lines use at most half of the queue and a budget of 4 KiB a second with a burst of 240 KiB; the excess is dropped and counted. The other lines have the rest of the queue and no budget, and the order of lines is kept. 7405 and a new metric give the counts by class; 7405 is now also written while the process runs, at most once a minute, since a process that is killed never came to report its drops.

--- a/cmd/jujubearchd/serve.go
+++ b/cmd/jujubearchd/serve.go
@@ -38,7 +38,7 @@
 	}
 	output := event.NewAsyncWriter(os.Stdout)
 	defer output.Close()
-	logger := event.NewLogger(output, s.LogLevel, s.LogFormat)
+	logger := output.NewLogger(s.LogLevel, s.LogFormat)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	client := platform.NewHTTPClient()
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -195,12 +195,22 @@
 	SettingsReloaded:    {"settings-reloaded", Info, "the settings were reloaded"},
 	RecordRefused:       {"record-refused", Warn, "a record can't be decoded and is ignored"},
 	RecordUnstorable:    {"record-unstorable", Error, "a record can't be stored as it is; the others are stored without it"},
-	LinesDropped:        {"lines-dropped", Warn, "log lines were dropped because the output was too slow"},
+	LinesDropped:        {"lines-dropped", Warn, "log lines were dropped: bulk lines beyond their budget, or any if the output was too slow"},
 
 	VMListRecovered: {"vm-list-recovered", Info, "the VM list is available again"},
 	VMListFailing:   {"vm-list-failing", Warn, "the VM list is unavailable; the last known list stays in use"},
 }
 
+// bulkEvents are the events of normal operation that are logged for each task or request. Their volume grows with the load,
+// so under load only a part of them is kept. No event is among them that reports a fault or a change of what is believed.
+var bulkEvents = map[Code]bool{
+	JobAccepted: true, JobRefused: true, JobEnded: true, CancelAnswered: true, QueueUnknown: true, JobOverdue: true,
+	RunPlaced: true, RunEnded: true, PaceChanged: true, AdviceGiven: true, TaskWaits: true,
+}
+
+// IsBulk reports whether an event is one of those whose volume grows with the load.
+func IsBulk(code Code) bool { return bulkEvents[code] }
+
 // Define returns the definition of a code, and whether the code is defined.
 func Define(code Code) (Definition, bool) {
 	d, ok := definitions[code]
--- a/internal/transport/event/bounded_test.go
+++ b/internal/transport/event/bounded_test.go
@@ -32,8 +32,8 @@
 		_, err := a.Write([]byte("line\n"))
 		assert.NilError(t, err)
 	}
-	assert.Assert(t, a.Dropped() > 0)
+	assert.Assert(t, a.Dropped().Total() > 0)
 	close(out.release)
 	a.Close()
-	assert.Equal(t, uint64(strings.Count(out.text.String(), "\n"))+a.Dropped(), uint64(lines))
+	assert.Equal(t, uint64(strings.Count(out.text.String(), "\n"))+a.Dropped().Total(), uint64(lines))
 }
--- a/internal/transport/event/catalogue_test.go
+++ b/internal/transport/event/catalogue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -43,3 +44,20 @@
 		assert.Assert(t, rows[code], "event %d is missing from docs/EVENTS.md", code)
 	}
 }
+
+// docs/EVENTS.md must name the events whose lines may be missing, so that operators conclude nothing from the absence of one.
+func TestCatalogueNamesBulkEvents(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/EVENTS.md")
+	assert.NilError(t, err)
+	_, rest, found := strings.Cut(string(page), "\nBulk events: ")
+	assert.Assert(t, found)
+	list, _, _ := strings.Cut(rest, "\n")
+	var want []string
+	for _, code := range notice.Codes() {
+		if notice.IsBulk(code) {
+			want = append(want, strconv.Itoa(int(code)))
+		}
+	}
+	slices.Sort(want)
+	assert.Equal(t, list, strings.Join(want, " "))
+}
--- a/internal/transport/event/event.go
+++ b/internal/transport/event/event.go
@@ -1,5 +1,6 @@
 // Package event writes the numbered events of package notice to a log/slog logger. Each log line carries the number and
-// the name of its event. AsyncWriter keeps a slow log output from blocking the process.
+// the name of its event. AsyncWriter keeps a slow log output from blocking the process,
+// and the lines of bulk events from displacing others.
 package event
 
 import (
@@ -13,15 +14,19 @@
 // NewLogger returns a logger. The level is debug, info, warn or error, and info if it is invalid; the format is text,
 // or JSON for any other value.
 func NewLogger(w io.Writer, level, format string) *slog.Logger {
+	return slog.New(newHandler(w, level, format))
+}
+
+func newHandler(w io.Writer, level, format string) slog.Handler {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		l = slog.LevelInfo
 	}
 	options := &slog.HandlerOptions{Level: l}
 	if format == "text" {
-		return slog.New(slog.NewTextHandler(w, options))
+		return slog.NewTextHandler(w, options)
 	}
-	return slog.New(slog.NewJSONHandler(w, options))
+	return slog.NewJSONHandler(w, options)
 }
 
 // Log writes an event with its number, name and attributes.
@@ -34,7 +39,11 @@
 	for _, a := range attrs {
 		fields = append(fields, slog.Any(a.Key, a.Value))
 	}
-	logger.LogAttrs(context.Background(), slogLevel(definition.Level), definition.Text, fields...)
+	ctx := context.Background()
+	if notice.IsBulk(code) {
+		ctx = bulkContext
+	}
+	logger.LogAttrs(ctx, slogLevel(definition.Level), definition.Text, fields...)
 }
 
 // slogLevel converts the level of an event.
--- a/internal/transport/jobdaemon/daemon.go
+++ b/internal/transport/jobdaemon/daemon.go
@@ -54,8 +54,8 @@
 	// CallerHandler returns the handler of callers' requests, HealthHandler that of the load balancer's health checks.
 	CallerHandler func(*jobs.Service) http.Handler
 	HealthHandler func(*jobs.Service) http.Handler
-	// DroppedLogLines returns the number of log lines dropped so far; nil means that the logger drops none.
-	DroppedLogLines func() uint64
+	// DroppedLogLines returns the numbers of log lines dropped so far; nil means that the logger drops none.
+	DroppedLogLines func() event.DroppedLines
 }
 
 // Daemon is a running entry.
@@ -65,7 +65,8 @@
 	actor        *jobs.ControlActor
 	hub          *relay.Hub
 	agent        *relay.Agent
-	droppedLines func() uint64
+	droppedLines func() event.DroppedLines
+	stopReports  context.CancelFunc
 	callerServer *http.Server
 	servers      []*http.Server
 }
@@ -94,6 +95,11 @@
 		return nil, errors.Trace(err)
 	}
 	d.actor = actor
+	reports, stopReports := context.WithCancel(context.Background())
+	d.stopReports = stopReports
+	if d.droppedLines != nil {
+		go reportDroppedLines(reports, logger, d.droppedLines)
+	}
 	d.hub.Attach(actor)
 	service := &jobs.Service{
 		Actor: actor, Store: executor.Store, Leader: jobs.NewPeerClient(newPeerHTTPClient()), Logger: logger,
@@ -175,14 +181,15 @@
 		event.Log(d.logger, notice.DrainAbortedRequests, notice.Attr{Key: "error", Value: err.Error()})
 	}
 	d.Close()
-	if d.droppedLines != nil && d.droppedLines() > 0 {
-		event.Log(d.logger, notice.LinesDropped, notice.Attr{Key: "lines", Value: d.droppedLines()})
+	if d.droppedLines != nil {
+		logDroppedLines(d.logger, d.droppedLines())
 	}
 	event.Log(d.logger, notice.ProcessStopped)
 }
 
 // Close stops the daemon without draining: requests in flight are cut and the leadership is not handed over.
 func (d *Daemon) Close() {
+	d.stopReports()
 	for _, server := range d.servers {
 		_ = server.Close()
 	}
--- a/internal/transport/jobs/metrics.go
+++ b/internal/transport/jobs/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/jujubearch/jujubearch/internal/coordination/dispatch"
 	"github.com/jujubearch/jujubearch/internal/state/job"
+	"github.com/jujubearch/jujubearch/internal/transport/event"
 )
 
 // Metrics holds the Prometheus metrics of the job scheduler. Metric names include the unit.
@@ -32,9 +33,12 @@
 	}
 }
 
-// RegisterDroppedLines registers a gauge with the number of dropped log lines.
-func (m *Metrics) RegisterDroppedLines(count func() uint64) {
-	m.set.NewGauge("jujubearch_log_lines_dropped", func() float64 { return float64(count()) })
+// RegisterDroppedLines registers gauges with the number of dropped log lines, in total and by class.
+func (m *Metrics) RegisterDroppedLines(count func() event.DroppedLines) {
+	m.set.NewGauge("jujubearch_log_lines_dropped", func() float64 { return float64(count().Total()) })
+	m.set.NewGauge(`jujubearch_log_lines_dropped_by_class{class="bulk"}`, func() float64 { return float64(count().Bulk) })
+	m.set.NewGauge(`jujubearch_log_lines_dropped_by_class{class="essential"}`,
+		func() float64 { return float64(count().Essential) })
 }
 
 // Set returns the set to expose to the metrics collector.
