Say at a second start of a task which decision released the first run

A task ran twice and the log could not say why: 7201 of the second start said only that the task was placed, and of all decisions that release a run only those about a whole worker were named for each run.

Each task now keeps which of its runs was released last, when, and by which proof or kind of end. A later start writes that instead of 7201: 7213 run-repeated (warn, never dropped for volume) if the worker did not report the end itself, and 7214 run-retried (bulk) if it did, so that tasks that fail again and again can't displace the decisions that rest on a proof. Runs that are missing from the inventory of a restarted worker are told from runs that vanished.

The two tests that count placements by 7201 now count all three events.

--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -12,7 +12,7 @@
 func (d *Dispatcher) recordEnd(now time.Time, w *worker, end *job.EndedTask) {
 	r, known := w.runs[end.Run]
 	if known {
-		d.releaseRun(now, r)
+		d.releaseRun(now, r, end.Kind.String())
 	}
 	j, ok := d.jobs[end.Task.Job]
 	if !ok {
@@ -25,6 +25,9 @@
 	d.logEvent(notice.RunEnded, Attr{Key: "job", Value: j.ID}, Attr{Key: "task", Value: t.String()},
 		Attr{Key: "run", Value: end.Number}, Attr{Key: "worker", Value: w.ID},
 		Attr{Key: "end", Value: end.Kind.String()})
+	if !known {
+		t.recordRelease(now, end.Number, w, end.Kind.String())
+	}
 	if end.Checkpoint != "" && end.Checkpoint != t.checkpoint && !t.done {
 		t.checkpoint = end.Checkpoint
 		d.markDirty(j)
@@ -64,7 +67,7 @@
 // finishTask marks a task as done, unblocks the steps that waited for its step, and completes the job after its last
 // task.
 func (d *Dispatcher) finishTask(now time.Time, t *task) {
-	t.done = true
+	t.done, t.released = true, nil
 	t.updateWaiting()
 	for _, r := range t.runs {
 		d.stopRun(r, "task-done")
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -199,7 +199,7 @@
 		if !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
 			d.logEvent(notice.RunVanished, Attr{Key: "task", Value: r.Task.String()}, Attr{Key: "run", Value: r.Number},
 				Attr{Key: "worker", Value: w.ID})
-			d.releaseRun(now, r)
+			d.releaseRun(now, r, w.missingRunCause(r))
 		}
 	}
 }
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -99,6 +99,9 @@
 	startedRuns int
 	// hasRun is set once a run of the task has ended that its worker had confirmed.
 	hasRun bool
+	// released says why the latest run that is over was taken as over; nil if there was none under this leader, or the task
+	// is done.
+	released *release
 	// crashes is the number of crashes of workers that are charged to the task.
 	crashes int
 	// quickCrashes is the number of them soon after the start.
--- a/internal/coordination/dispatch/listedends_test.go
+++ b/internal/coordination/dispatch/listedends_test.go
@@ -21,12 +21,17 @@
 	return sim
 }
 
+// isPlacement reports whether an event is the placement of a first or a later run.
+func isPlacement(code notice.Code) bool {
+	return code == notice.RunPlaced || code == notice.RunRepeated || code == notice.RunRetried
+}
+
 // startedMoreThanOnce returns the number of runs beyond the first one of each task.
 func startedMoreThanOnce(sim *simulation) int {
 	starts := make(map[any]int)
 	again := 0
 	for _, e := range sim.logEvents {
-		if e.Code != notice.RunPlaced {
+		if !isPlacement(e.Code) {
 			continue
 		}
 		for _, a := range e.Attrs {
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -103,10 +103,7 @@
 	d.reserve(r)
 	t.runs = append(t.runs, r)
 	t.updateWaiting()
-	d.logEvent(notice.RunPlaced, Attr{Key: "job", Value: t.Job}, Attr{Key: "task", Value: t.String()},
-		Attr{Key: "run", Value: number}, Attr{Key: "worker", Value: w.ID},
-		Attr{Key: "waited", Value: now.Sub(t.readySince)}, Attr{Key: "inventory_age", Value: now.Sub(w.answeredAt)},
-		Attr{Key: "free_cpu_millis", Value: w.free().CPUMillis})
+	d.logPlaced(now, t, r)
 	if t.crashes >= probationCrashes {
 		w.health.avoid(now.Add(probationTime))
 	}
@@ -146,7 +143,7 @@
 			d.startUnanswered(now, r)
 			return
 		}
-		d.startRefused(now, w, r, "not-sent")
+		d.startRefused(now, w, r, causeNotSent)
 	case response.Refusal == job.RefusedNone:
 		r.phase, r.confirmedAt = running, now
 		if r.task != nil && r.task.crashes > 0 {
@@ -181,7 +178,7 @@
 	d.logEvent(notice.StartRefused, Attr{Key: "task", Value: r.Task.String()}, Attr{Key: "run", Value: r.Number},
 		Attr{Key: "worker", Value: w.ID}, Attr{Key: "reason", Value: reason})
 	w.health.avoidUntil = now.Add(refusalBackoff)
-	d.releaseRun(now, r)
+	d.releaseRun(now, r, startRefusalCause(reason))
 }
 
 // startUnanswered schedules another attempt, or stops the run after the last one.
@@ -284,8 +281,8 @@
 	}
 }
 
-// releaseRun removes a run that is proved gone and makes its task ready again.
-func (d *Dispatcher) releaseRun(now time.Time, r *run) {
+// releaseRun removes a run that is over, for a cause that is a proof or the kind of its end, and makes its task ready again.
+func (d *Dispatcher) releaseRun(now time.Time, r *run, cause string) {
 	w := r.worker
 	w.forecast = nil
 	w.recordEndedUse(now, r)
@@ -303,6 +300,7 @@
 		t.runs = slices.Delete(t.runs, at, at+1)
 		t.updateWaiting()
 	}
+	t.recordRelease(now, r.Number, w, cause)
 	t.readySince = now
 	t.hasRun = t.hasRun || r.phase != starting
 	if t.checkpoint != "" && !t.done && !t.owner.phase.Final() {
--- a/internal/coordination/dispatch/permit_test.go
+++ b/internal/coordination/dispatch/permit_test.go
@@ -45,7 +45,7 @@
 	assert.Equal(t, len(sim.adviceRequests), 1, "one request covers all tasks of a step")
 	for _, r := range sim.logEvents {
 		for _, a := range r.Attrs {
-			if a.Key == "worker" && r.Code == 7201 {
+			if a.Key == "worker" && isPlacement(r.Code) {
 				assert.Assert(t, a.Value == model.WorkerID("w02") || a.Value == model.WorkerID("w04"),
 					"placed on %v", a.Value)
 			}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -55,6 +55,8 @@
 	claimedAt   time.Time
 	// index is the place of the worker in sortedWorkers while the dispatcher's room is built.
 	index int
+	// restartedAt is when it was last noticed that the worker had restarted under its id.
+	restartedAt time.Time
 	// listed is set while the platform's VM list names the worker.
 	listed bool
 	// open is set while the worker may get starts. That requires storedOpen: the registry in the store has the worker
@@ -264,7 +266,7 @@
 	w.boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
 		w.leaseEnd, w.clock = boot, 0, 0, 0, 0, 0, 0
 	w.uncommittedEnds = nil
-	w.fenced, w.answeredPromptly, w.clockAt = false, false, now
+	w.fenced, w.answeredPromptly, w.clockAt, w.restartedAt = false, false, now, now
 }
 
 // markDead records that nothing can run on a worker any more, and releases its runs.
@@ -285,7 +287,7 @@
 			d.logEvent(notice.RunReleased, Attr{Key: "job", Value: r.Task.Job}, Attr{Key: "task", Value: r.Task.String()},
 				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof})
 		}
-		d.releaseRun(now, r)
+		d.releaseRun(now, r, proof)
 	}
 	d.passNeeded = true
 }
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -86,6 +86,8 @@
 	RunLost             Code = 7210
 	TaskGivenUp         Code = 7211
 	RunReleased         Code = 7212
+	RunRepeated         Code = 7213
+	RunRetried          Code = 7214
 	WorkerFirstResponse Code = 7301
 	WorkerDraining      Code = 7302
 	WorkerRestarted     Code = 7303
@@ -178,6 +180,8 @@
 	RunLost:             {"run-lost", Warn, "a run was lost with its worker, which crashed"},
 	TaskGivenUp:         {"task-given-up", Warn, "a task has crashed too many workers; its job fails"},
 	RunReleased:         {"run-released", Warn, "a run is proved gone though its worker did not report its end; the task is rescheduled"},
+	RunRepeated:         {"run-repeated", Warn, "a task was placed again after a run whose end its worker did not report"},
+	RunRetried:          {"run-retried", Info, "a task was placed again after a run whose end its worker reported"},
 	PaceChanged:         {"pace-changed", Info, "the permitted speed of a best-effort task was changed"},
 	WorkerFirstResponse: {"worker-held", Info, "a worker responded to the leader for the first time in this epoch"},
 	WorkerDraining:      {"worker-draining", Info, "a worker is draining and gets no new tasks"},
@@ -205,7 +209,7 @@
 // so under load only a part of them is kept. No event is among them that reports a fault or a change of what is believed.
 var bulkEvents = map[Code]bool{
 	JobAccepted: true, JobRefused: true, JobEnded: true, CancelAnswered: true, QueueUnknown: true, JobOverdue: true,
-	RunPlaced: true, RunEnded: true, PaceChanged: true, AdviceGiven: true, TaskWaits: true,
+	RunPlaced: true, RunEnded: true, PaceChanged: true, RunRetried: true, AdviceGiven: true, TaskWaits: true,
 }
 
 // IsBulk reports whether an event is one of those whose volume grows with the load.
