Name the epoch of decisions on runs, and workers accounted for unanswered

With several leaders in one incident the log did not say under which epoch a run was placed or released, and a new leader that stopped waiting for a listed worker of the registry wrote nothing at all: it then starts tasks that may have run there, and knows of no earlier run of them.

7201, 7212, 7213, 7214, 7303, 7304 and 7307 now hold the epoch. The new event 7312 worker-accounted tells of a worker that is taken as accounted for without its full answer, with the proof and the time waited.

--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -87,6 +87,18 @@
 	}
 }
 
+// accountWithoutAnswer takes a worker as accounted for that has not told this leader all it runs. Tasks of its
+// predecessors that may have run there may start again.
+func (d *Dispatcher) accountWithoutAnswer(now time.Time, w *worker, proof string) {
+	if w.inheritedEntry == nil {
+		return
+	}
+	d.logEvent(notice.WorkerAccounted, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
+		Attr{Key: "closed", Value: w.inheritedEntry.NoMoreStarts}, Attr{Key: "closed_runs", Value: len(w.inheritedEntry.Runs)},
+		Attr{Key: "waited", Value: now.Sub(d.recovery.beganAt)}, Attr{Key: "epoch", Value: d.epoch})
+	d.markAccounted(w)
+}
+
 // checkUnfenced stops waiting for a worker of the registry that has not answered by the time that all leases of
 // earlier leaders have expired. As in checkLeases, a later leader must not have renewed them.
 func (d *Dispatcher) checkUnfenced(now time.Time, w *worker) {
@@ -103,7 +115,7 @@
 		return
 	}
 	if w.listed {
-		d.markAccounted(w)
+		d.accountWithoutAnswer(now, w, proofLeaseEnded)
 		return
 	}
 	d.markDead(now, w, proofLeaseEnded)
--- a/internal/coordination/dispatch/release.go
+++ b/internal/coordination/dispatch/release.go
@@ -78,6 +78,7 @@
 		{Key: "waited", Value: now.Sub(t.readySince)},
 		{Key: "inventory_age", Value: now.Sub(w.answeredAt)},
 		{Key: "free_cpu_millis", Value: w.free().CPUMillis},
+		{Key: "epoch", Value: d.epoch},
 	}
 	previous := t.released
 	if previous == nil {
@@ -86,7 +87,7 @@
 	}
 	attrs = append(attrs, Attr{Key: "previous_run", Value: previous.run},
 		Attr{Key: "previous_worker", Value: previous.worker}, Attr{Key: "released_by", Value: previous.cause},
-		Attr{Key: "released_age", Value: now.Sub(previous.at)}, Attr{Key: "epoch", Value: d.epoch})
+		Attr{Key: "released_age", Value: now.Sub(previous.at)})
 	if previous.reported {
 		d.logEvent(notice.RunRetried, attrs...)
 	} else {
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -261,7 +261,7 @@
 // shows which runs it has: the new process may have carried out an order that was in flight.
 func (d *Dispatcher) workerRestarted(now time.Time, w *worker, boot job.BootID) {
 	d.logEvent(notice.WorkerRestarted, Attr{Key: "worker", Value: w.ID}, Attr{Key: "boot", Value: boot},
-		Attr{Key: "runs", Value: len(w.orderedRuns)})
+		Attr{Key: "runs", Value: len(w.orderedRuns)}, Attr{Key: "epoch", Value: d.epoch})
 	d.recordCrash(w, proofRestarted)
 	w.boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
 		w.leaseEnd, w.clock = boot, 0, 0, 0, 0, 0, 0
@@ -272,7 +272,7 @@
 // markDead records that nothing can run on a worker any more, and releases its runs.
 func (d *Dispatcher) markDead(now time.Time, w *worker, proof string) {
 	d.logEvent(notice.WorkerGone, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
-		Attr{Key: "runs", Value: len(w.runs)})
+		Attr{Key: "runs", Value: len(w.runs)}, Attr{Key: "epoch", Value: d.epoch})
 	w.dead = true
 	d.recordCrash(w, proof)
 	d.releaseRuns(now, w, proof)
@@ -285,7 +285,8 @@
 	for _, r := range slices.Clone(w.orderedRuns) {
 		if !w.provesCrash(proof) {
 			d.logEvent(notice.RunReleased, Attr{Key: "job", Value: r.Task.Job}, Attr{Key: "task", Value: r.Task.String()},
-				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof})
+				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
+				Attr{Key: "epoch", Value: d.epoch})
 		}
 		d.releaseRun(now, r, proof)
 	}
@@ -349,7 +350,7 @@
 		return
 	}
 	d.logEvent(notice.WorkerLeasesExpired, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)},
-		Attr{Key: "unconfirmed", Value: now.Sub(ended)})
+		Attr{Key: "unconfirmed", Value: now.Sub(ended)}, Attr{Key: "epoch", Value: d.epoch})
 	d.releaseRuns(now, w, proofLeaseEnded)
-	d.markAccounted(w)
+	d.accountWithoutAnswer(now, w, proofLeaseEnded)
 }
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -99,6 +99,7 @@
 	RelayLost           Code = 7309
 	RelayFollowing      Code = 7310
 	RelayStopped        Code = 7311
+	WorkerAccounted     Code = 7312
 	DependencyLost      Code = 7401
 	DependencyRecovered Code = 7402
 	SettingsReloaded    Code = 7403
@@ -194,6 +195,7 @@
 	RelayLost:           {"relay-lost", Warn, "an entry no longer carries orders; its workers are reached in another way"},
 	RelayFollowing:      {"relay-following", Info, "this entry carries orders of the leader"},
 	RelayStopped:        {"relay-stopped", Info, "this entry no longer carries orders of a leader"},
+	WorkerAccounted:     {"worker-accounted", Warn, "a worker that has not answered a new leader can run nothing of an earlier one any more"},
 	DependencyLost:      {"dependency-lost", Warn, "a dependency does not respond"},
 	DependencyRecovered: {"dependency-back", Info, "a dependency responds again"},
 	SettingsReloaded:    {"settings-reloaded", Info, "the settings were reloaded"},
