Count released runs by proof

When the log of the minute in question is gone, nothing showed whether the leader had released runs on a proof rather than on the worker's report. The counter jujubearch_runs_released_total{proof} does: the dispatcher emits one action for each released run, which the executor counts like its other reports.

--- a/internal/coordination/dispatch/action.go
+++ b/internal/coordination/dispatch/action.go
@@ -110,6 +110,9 @@
 	Attrs []Attr
 }
 
+// RunReleased says by which proof, or by which kind of its end, a run was taken as over.
+type RunReleased struct{ Proof string }
+
 // CancelCommitted answers a Cancel whose outcome has been committed.
 type CancelCommitted struct{ Job job.ID }
 
@@ -127,3 +130,4 @@
 func (Deposed) isDispatchAction()         {}
 func (LoadSample) isDispatchAction()      {}
 func (JobStages) isDispatchAction()       {}
+func (RunReleased) isDispatchAction()     {}
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -283,6 +283,7 @@
 
 // releaseRun removes a run that is over, for a cause that is a proof or the kind of its end, and makes its task ready again.
 func (d *Dispatcher) releaseRun(now time.Time, r *run, cause string) {
+	d.emit(RunReleased{Proof: cause})
 	w := r.worker
 	w.forecast = nil
 	w.recordEndedUse(now, r)
--- a/internal/coordination/dispatch/release_test.go
+++ b/internal/coordination/dispatch/release_test.go
@@ -78,9 +78,20 @@
 		age, ok := line["released_age"].(time.Duration)
 		assert.Assert(t, ok && age >= 0 && age < time.Second, "%s: released_age %v", proof, line["released_age"])
 		assert.Equal(t, len(sim.eventsOf(notice.RunRetried)), 0, proof)
+		assert.DeepEqual(t, sim.released, map[string]int{proof: 1})
 	}
 }
 
+// Guards against a count of releases that misses the ends which workers report, so that the share of the others is unknown.
+func TestReportedEndsAreCountedAsReleases(t *testing.T) {
+	sim := newSimulation(1, 2)
+	sim.advanceTime(time.Second)
+	sim.submit(plainJob("a", 20))
+	sim.advanceTime(5 * time.Second)
+	assert.Equal(t, sim.phase("a"), job.Completed)
+	assert.DeepEqual(t, sim.released, map[string]int{"done": 20})
+}
+
 // Guards against a log in which the restarts of failing tasks displace the second starts that were decided on a proof.
 func TestSecondStartAfterTheWorkersReportIsBulk(t *testing.T) {
 	sim, _ := secondStart(t, func(sim *simulation, s *simWorker) {
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -29,11 +29,13 @@
 	// cancelCommitted counts the CancelCommitted actions of each job.
 	cancelCommitted map[job.ID]int
 	logEvents       []LogEvent
-	stages          []JobStages
-	loads           []LoadSample
-	deposed         bool
-	holds           []Hold
-	jobsByID        map[job.ID]*job.Job
+	// released counts the released runs by proof.
+	released map[string]int
+	stages   []JobStages
+	loads    []LoadSample
+	deposed  bool
+	holds    []Hold
+	jobsByID map[job.ID]*job.Job
 	// advise answers advice requests, which are recorded in adviceRequests.
 	advise         func(RequestAdvice) (map[model.WorkerID]job.Permit, error)
 	adviceRequests []RequestAdvice
@@ -78,6 +80,7 @@
 			Incarnation: 1, MaxLease: testMaxLease, StatusRetention: 2 * time.Minute,
 		},
 		workers: make(map[model.WorkerID]*simWorker), cancelCommitted: make(map[job.ID]int),
+		released: make(map[string]int),
 		jobsByID: make(map[job.ID]*job.Job),
 		routes:   []job.Route{{Queue: "q", Service: "s", Attempts: 2, Slack: 1.5, TargetLatency: time.Second}},
 	}
@@ -255,6 +258,8 @@
 			sim.cancelCommitted[a.Job]++
 		case LogEvent:
 			sim.logEvents = append(sim.logEvents, a)
+		case RunReleased:
+			sim.released[a.Proof]++
 		case JobStages:
 			sim.stages = append(sim.stages, a)
 		case LoadSample:
--- a/internal/transport/jobs/load.go
+++ b/internal/transport/jobs/load.go
@@ -21,6 +21,8 @@
 		if a.Overdue > 0 {
 			e.logOverdue(a)
 		}
+	case dispatch.RunReleased:
+		e.Metrics.countReleasedRun(a.Proof)
 	default:
 		return false
 	}
--- a/internal/transport/jobs/metrics.go
+++ b/internal/transport/jobs/metrics.go
@@ -61,6 +61,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`jujubearch_worker_order_seconds{kind=%q}`, kind)).UpdateDuration(start)
 }
 
+// countReleasedRun counts a run that the leader has taken as over.
+func (m *Metrics) countReleasedRun(proof string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`jujubearch_runs_released_total{proof=%q}`, proof)).Inc()
+}
+
 // observeRequest records the outcome and the duration of a caller's request.
 func (m *Metrics) observeRequest(kind, outcome string, start time.Time) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`jujubearch_job_requests_total{kind=%q,outcome=%q}`, kind, outcome)).Inc()
