--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -58,6 +58,8 @@
 	claimedAt   time.Time
 	// index is the place of the worker in sortedWorkers while the dispatcher's room is built.
 	index int
+	// restartedAt is when it was last noticed that the worker had restarted under its id.
+	restartedAt time.Time
 	// listed is set while the platform's VM list names the worker.
 	listed bool
 	// open is set while the worker may get starts. That requires storedOpen: the registry in the store has the worker
@@ -268,18 +270,18 @@
 // shows which runs it has: the new process may have carried out an order that was in flight.
 func (d *Dispatcher) workerRestarted(now time.Time, w *worker, boot job.BootID) {
 	d.logEvent(notice.WorkerRestarted, Attr{Key: "worker", Value: w.ID}, Attr{Key: "boot", Value: boot},
-		Attr{Key: "runs", Value: len(w.orderedRuns)})
+		Attr{Key: "runs", Value: len(w.orderedRuns)}, Attr{Key: "epoch", Value: d.epoch})
 	d.recordCrash(w, proofRestarted)
 	w.boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
 		w.leaseEnd, w.clock = boot, 0, 0, 0, 0, 0, 0
 	w.uncommittedEnds = nil
-	w.fenced, w.answeredPromptly, w.clockAt = false, false, now
+	w.fenced, w.answeredPromptly, w.clockAt, w.restartedAt = false, false, now, now
 }
 
 // markDead records that nothing can run on a worker any more, and releases its runs.
 func (d *Dispatcher) markDead(now time.Time, w *worker, proof string) {
 	d.logEvent(notice.WorkerGone, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
-		Attr{Key: "runs", Value: len(w.runs)})
+		Attr{Key: "runs", Value: len(w.runs)}, Attr{Key: "epoch", Value: d.epoch})
 	w.dead = true
 	d.recordCrash(w, proof)
 	d.releaseRuns(now, w, proof)
@@ -292,9 +294,10 @@
 	for _, r := range slices.Clone(w.orderedRuns) {
 		if !w.provesCrash(proof) {
 			d.logEvent(notice.RunReleased, Attr{Key: "job", Value: r.Task.Job}, Attr{Key: "task", Value: r.Task.String()},
-				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof})
+				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
+				Attr{Key: "epoch", Value: d.epoch})
 		}
-		d.releaseRun(now, r)
+		d.releaseRun(now, r, proof)
 	}
 	d.passNeeded = true
 }
@@ -356,7 +359,7 @@
 		return
 	}
 	d.logEvent(notice.WorkerLeasesExpired, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)},
-		Attr{Key: "unconfirmed", Value: now.Sub(ended)})
+		Attr{Key: "unconfirmed", Value: now.Sub(ended)}, Attr{Key: "epoch", Value: d.epoch})
 	d.releaseRuns(now, w, proofLeaseEnded)
-	d.markAccounted(w)
+	d.accountWithoutAnswer(now, w, proofLeaseEnded)
 }
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -86,6 +86,8 @@
 	RunLost             Code = 7210
 	TaskGivenUp         Code = 7211
 	RunReleased         Code = 7212
+	RunRepeated         Code = 7213
+	RunRetried          Code = 7214
 	WorkerFirstResponse Code = 7301
 	WorkerDraining      Code = 7302
 	WorkerRestarted     Code = 7303
@@ -97,6 +99,7 @@
 	RelayLost           Code = 7309
 	RelayFollowing      Code = 7310
 	RelayStopped        Code = 7311
+	WorkerAccounted     Code = 7312
 	DependencyLost      Code = 7401
 	DependencyRecovered Code = 7402
 	SettingsReloaded    Code = 7403
@@ -178,6 +181,8 @@
 	RunLost:             {"run-lost", Warn, "a run was lost with its worker, which crashed"},
 	TaskGivenUp:         {"task-given-up", Warn, "a task has crashed too many workers; its job fails"},
 	RunReleased:         {"run-released", Warn, "a run is proved gone though its worker did not report its end; the task is rescheduled"},
+	RunRepeated:         {"run-repeated", Warn, "a task was placed again after a run whose end its worker did not report"},
+	RunRetried:          {"run-retried", Info, "a task was placed again after a run whose end its worker reported"},
 	PaceChanged:         {"pace-changed", Info, "the permitted speed of a best-effort task was changed"},
 	WorkerFirstResponse: {"worker-held", Info, "a worker responded to the leader for the first time in this epoch"},
 	WorkerDraining:      {"worker-draining", Info, "a worker is draining and gets no new tasks"},
@@ -190,17 +195,28 @@
 	RelayLost:           {"relay-lost", Warn, "an entry no longer carries orders; its workers are reached in another way"},
 	RelayFollowing:      {"relay-following", Info, "this entry carries orders of the leader"},
 	RelayStopped:        {"relay-stopped", Info, "this entry no longer carries orders of a leader"},
+	WorkerAccounted:     {"worker-accounted", Warn, "a worker that has not answered a new leader can run nothing of an earlier one any more"},
 	DependencyLost:      {"dependency-lost", Warn, "a dependency does not respond"},
 	DependencyRecovered: {"dependency-back", Info, "a dependency responds again"},
 	SettingsReloaded:    {"settings-reloaded", Info, "the settings were reloaded"},
 	RecordRefused:       {"record-refused", Warn, "a record can't be decoded and is ignored"},
 	RecordUnstorable:    {"record-unstorable", Error, "a record can't be stored as it is; the others are stored without it"},
-	LinesDropped:        {"lines-dropped", Warn, "log lines were dropped because the output was too slow"},
+	LinesDropped:        {"lines-dropped", Warn, "log lines were dropped: bulk lines beyond their budget, or any if the output was too slow"},
 
 	VMListRecovered: {"vm-list-recovered", Info, "the VM list is available again"},
 	VMListFailing:   {"vm-list-failing", Warn, "the VM list is unavailable; the last known list stays in use"},
 }
 
+// bulkEvents are the events of normal operation that are logged for each task or request. Their volume grows with the load,
+// so under load only a part of them is kept. No event is among them that reports a fault or a change of what is believed.
+var bulkEvents = map[Code]bool{
+	JobAccepted: true, JobRefused: true, JobEnded: true, CancelAnswered: true, QueueUnknown: true, JobOverdue: true,
+	RunPlaced: true, RunEnded: true, PaceChanged: true, RunRetried: true, AdviceGiven: true, TaskWaits: true,
+}
+
+// IsBulk reports whether an event is one of those whose volume grows with the load.
+func IsBulk(code Code) bool { return bulkEvents[code] }
+
 // Define returns the definition of a code, and whether the code is defined.
 func Define(code Code) (Definition, bool) {
 	d, ok := definitions[code]
