--- a/internal/coordination/scheduler/fleet_test.go
+++ b/internal/coordination/scheduler/fleet_test.go
@@ -26,24 +26,35 @@
 	workers    []*fleetWorker
 	// lateCrossesRestarts means that a late order may reach a later boot of its worker.
 	lateCrossesRestarts bool
-	incarnations        model.Incarnation
-	jobs                map[job.ID]*job.Job
-	jobIDs              []job.ID
-	tasks               map[job.Task]*fleetTask
-	lines               []fleetLine
-	violations          []fleetViolation
+	// retention is short, so that jobs are removed during a run.
+	retention time.Duration
+	// reachedLaterBoot is set while a process carries out an order that was sent to an earlier one.
+	reachedLaterBoot bool
+	incarnations     model.Incarnation
+	jobs             map[job.ID]*job.Job
+	jobIDs           []job.ID
+	tasks            map[job.Task]*fleetTask
+	lines            []fleetLine
+	violations       []fleetViolation
 	// starts and elections are counted to show that the simulation does something.
 	starts, elections int
 }
 
 // fleetTask is what the workers know of a task together.
 type fleetTask struct {
-	live map[*fleetRun]bool
-	// startedAt are the times of its starts.
-	startedAt []time.Time
+	live    map[*fleetRun]bool
+	started []fleetStart
 	// doneAt is when a run was done whose end was acknowledged in time; zero before.
-	doneAt   time.Time
-	violated bool
+	doneAt time.Time
+	// ackStrayed means that the acknowledgement was sent to an earlier boot of the worker.
+	ackStrayed bool
+	violated   bool
+}
+
+// fleetStart is a start of a task.
+type fleetStart struct {
+	at      time.Time
+	strayed bool
 }
 
 type fleetViolation struct {
@@ -93,7 +104,7 @@
 		seed: seed, start: start, now: start, random: rand.New(rand.NewPCG(seed, 1)), jobs: make(map[job.ID]*job.Job),
 		tasks: make(map[job.Task]*fleetTask),
 	}
-	f.lateCrossesRestarts = f.withProbability(0.5)
+	f.lateCrossesRestarts, f.retention = f.withProbability(0.5), f.between(2*time.Second, 10*time.Second)
 	f.store = newFleetStore(f)
 	for i := range 8 + f.random.IntN(9) {
 		f.addWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("host-%02d:1", i), i%3)
@@ -168,7 +179,7 @@
 
 func (l *fleetLine) String() string {
 	if l.code == 0 {
-		return fmt.Sprintf("%9.3f %-4s %s", l.at.Seconds(), l.source, l.text)
+		return fmt.Sprintf("%9.3f %-4s %s", l.at.Seconds(), l.source, strings.TrimSpace(l.task+" "+l.text))
 	}
 	text := fmt.Sprint(int(l.code))
 	if def, ok := notice.Define(l.code); ok {
@@ -219,20 +230,29 @@
 	}
 }
 
+// mark tells an order that a later boot of its worker has carried out.
+func mark(strayed bool) string {
+	if strayed {
+		return " (ordered from an earlier boot)"
+	}
+	return ""
+}
+
 // runStarted checks the guarantees when a worker starts a run.
 func (f *fleet) runStarted(r *fleetRun) {
 	f.starts++
 	state := f.taskOf(r.Task)
+	r.strayed = f.reachedLaterBoot
 	for other := range state.live {
-		f.violate(r.Task, "run %d starts on %s while run %d is on %s", r.Number, r.process.id, other.Number,
-			other.process.id)
+		f.violate(r.Task, "run %d%s starts on %s while run %d%s is on %s", r.Number, mark(r.strayed), r.process.id, other.Number,
+			mark(other.strayed), other.process.id)
 	}
 	if !state.doneAt.IsZero() {
-		f.violate(r.Task, "run %d starts on %s after an acknowledged end at %.3f s", r.Number, r.process.id,
-			state.doneAt.Sub(f.start).Seconds())
+		f.violate(r.Task, "run %d%s starts on %s after an acknowledged end%s at %.3f s", r.Number, mark(r.strayed), r.process.id,
+			mark(state.ackStrayed), state.doneAt.Sub(f.start).Seconds())
 	}
 	state.live[r] = true
-	state.startedAt = append(state.startedAt, f.now)
+	state.started = append(state.started, fleetStart{f.now, r.strayed})
 }
 
 func (f *fleet) runGone(r *fleetRun) { delete(f.taskOf(r.Task).live, r) }
@@ -244,12 +264,12 @@
 	}
 	state := f.taskOf(e.Task)
 	if state.doneAt.IsZero() || e.at.Before(state.doneAt) {
-		state.doneAt = e.at
+		state.doneAt, state.ackStrayed = e.at, f.reachedLaterBoot
 	}
-	for _, at := range state.startedAt {
-		if at.After(e.at) {
-			f.violate(e.Task, "the end of run %d on %s at %.3f s is acknowledged, but the task started again at %.3f s", e.Number,
-				worker, e.at.Sub(f.start).Seconds(), at.Sub(f.start).Seconds())
+	for _, start := range state.started {
+		if start.at.After(e.at) {
+			f.violate(e.Task, "the end of run %d on %s at %.3f s is acknowledged%s, but the task started again%s at %.3f s", e.Number,
+				worker, e.at.Sub(f.start).Seconds(), mark(f.reachedLaterBoot), mark(start.strayed), start.at.Sub(f.start).Seconds())
 		}
 	}
 }
--- a/internal/coordination/scheduler/fleetcalls_test.go
+++ b/internal/coordination/scheduler/fleetcalls_test.go
@@ -45,6 +45,7 @@
 			// The list is another call.
 			l.f.after(l.f.latency()+l.f.latency(), func() {
 				if l.e.cuts == 0 && s.downs == 0 {
+					l.f.note(string(l.e.id), "", "", "all jobs are read again at revision %d", s.revision)
 					respond(JobsRead{Term: a.Term, Jobs: s.list(job.PrefixJob), Complete: true, Revision: s.revision})
 				}
 			})
@@ -149,15 +150,19 @@
 	t dispatch.Target, timeout time.Duration, carryOut func(*workerProcess, func(workerAnswer)),
 	event func(workerAnswer) Event,
 ) {
-	f, link := l.f, l.e.link(t.Address)
+	f, link, intended := l.f, l.e.link(t.Address), l.f.listener(t.Address)
 	failed := func(err error) Event { return event(workerAnswer{response: job.OrderResponse{Err: err}}) }
-	if link.late > 0 && f.withProbability(0.4) {
-		intended := f.listener(t.Address)
+	carryOutAt := func(p *workerProcess, answer func(workerAnswer)) {
+		f.reachedLaterBoot = p != intended
+		carryOut(p, answer)
+		f.reachedLaterBoot = false
+	}
+	if link.late > 0 && f.withProbability(0.4) || f.withProbability(0.002) {
 		l.request(timeout, failed, func(func(Event)) {
 			f.after(f.between(2*time.Second, 12*time.Second), func() {
 				p := f.listener(t.Address)
 				if p != nil && p.id == t.Worker && (p == intended || f.lateCrossesRestarts) {
-					carryOut(p, func(workerAnswer) {})
+					carryOutAt(p, func(workerAnswer) {})
 				}
 			})
 		})
@@ -174,8 +179,8 @@
 		case p.id != t.Worker:
 			respond(event(workerAnswer{response: job.OrderResponse{Refusal: job.RefusedBoot}}))
 		default:
-			carryOut(p, func(r workerAnswer) {
-				if link.silent == 0 && link.lostAnswers == 0 {
+			carryOutAt(p, func(r workerAnswer) {
+				if link.silent == 0 && link.lostAnswers == 0 && !f.withProbability(0.002) {
 					respond(event(r))
 				}
 			})
--- a/internal/coordination/scheduler/fleetentry_test.go
+++ b/internal/coordination/scheduler/fleetentry_test.go
@@ -17,8 +17,6 @@
 	fleetHoldGrace    = 500 * time.Millisecond
 	// fleetMaxOrderAge is that of the executor, which sends no older start.
 	fleetMaxOrderAge = 500 * time.Millisecond
-	// fleetRetention is short, so that jobs are removed during a run.
-	fleetRetention = 8 * time.Second
 )
 
 var errCompacted = verdict.NotRunError("the history is no longer available", nil)
@@ -74,7 +72,7 @@
 	l.core = New(Settings{
 		Entry: e.id, Incarnation: e.f.incarnations, Address: string(e.id) + ":1", LeaderTTL: testTTL,
 		MaxUnconfirmed: testMaxUnconfirmed, ConfigMaxAge: 2500 * time.Millisecond,
-		Dispatch: dispatch.Settings{MaxLease: fleetMaxLease, StatusRetention: fleetRetention},
+		Dispatch: dispatch.Settings{MaxLease: fleetMaxLease, StatusRetention: e.f.retention},
 	}, rand.New(rand.NewPCG(e.f.seed, uint64(e.f.incarnations))))
 	e.life = l
 	e.f.note(string(e.id), "", "", "starts as incarnation %d", e.f.incarnations)
@@ -101,6 +99,9 @@
 
 // kill ends the process. What it has sent is still on its way.
 func (l *entryLife) kill() {
+	if l.ended {
+		return
+	}
 	l.f.note(string(l.e.id), "", "", "is killed")
 	l.ended = true
 	if l.e.life == l {
@@ -242,7 +243,7 @@
 			}
 		default:
 			carryOut(func(ev Event) {
-				if l.e.cuts == 0 && l.e.lostAnswers == 0 {
+				if l.e.cuts == 0 && l.e.lostAnswers == 0 && !l.f.withProbability(0.002) {
 					respond(ev)
 				}
 			})
@@ -278,7 +279,7 @@
 // write sends a transaction, which the store may carry out late, or more than once in effect if it is repeated.
 func (l *entryLife) write(tx job.Transaction, result func(bool, model.Revision, error) Event) {
 	failed := func(err error) Event { return result(false, 0, err) }
-	if l.e.lateWrites > 0 && l.f.withProbability(0.5) {
+	if l.e.lateWrites > 0 && l.f.withProbability(0.5) || l.f.withProbability(0.002) {
 		l.request(fleetStoreTimeout, failed, func(func(Event)) {
 			l.f.after(l.f.between(time.Second, 6*time.Second), func() {
 				if l.f.store.downs == 0 {
--- a/internal/coordination/scheduler/fleetfaults_test.go
+++ b/internal/coordination/scheduler/fleetfaults_test.go
@@ -75,13 +75,15 @@
 	return time.Hour, job.EndDone
 }
 
-// injectFaults begins series of faults until a time. Faults of a series have the same targets, and all may overlap.
+// injectFaults begins series of faults until a time. Those of a series mostly have the same targets, and all may overlap.
 func (f *fleet) injectFaults(until time.Duration) {
 	faults := []func(*fleetEntry, *fleetWorker){
-		f.pauseEntry, f.killEntry, f.drainEntry, f.cutFromStore, f.cutFromStore, f.loseStoreAnswers, f.delayWrites,
+		f.pauseEntry, f.pauseEntryShortly, f.killEntry, f.drainEntry, f.cutFromStore, f.cutFromStore, f.loseStoreAnswers, f.delayWrites,
 		f.cutLinks, f.cutLinks, f.cutLinks, f.isolateDataCentre, f.isolateDataCentre, f.delayOrders, f.restartWorker,
 		f.restartWorker, f.drainWorker, f.cutWorkerFromStore, f.silenceWorker, f.takeStoreDown, f.compactHistory,
+		f.splitAround, f.restartAfterLateOrders,
 	}
+	longestGap := f.between(time.Second, 6*time.Second)
 	var begin func()
 	begin = func() {
 		if f.elapsed() > until {
@@ -90,14 +92,18 @@
 		fault := faults[f.random.IntN(len(faults))]
 		e, w := f.anyEntry(), f.workers[f.random.IntN(len(f.workers))]
 		at := time.Duration(0)
-		for range 1 + f.random.IntN(3) {
-			f.after(at, func() { fault(e, w) })
-			at += f.between(300*time.Millisecond, 4*time.Second)
+		for range 1 + f.random.IntN(4) {
+			current, entry := fault, e
+			f.after(at, func() { current(entry, w) })
+			at += f.between(100*time.Millisecond, 4*time.Second)
 			if f.withProbability(0.3) {
 				e = f.anyEntry()
 			}
+			if f.withProbability(0.5) {
+				fault = faults[f.random.IntN(len(faults))]
+			}
 		}
-		f.after(f.between(200*time.Millisecond, 4*time.Second), begin)
+		f.after(f.between(200*time.Millisecond, longestGap), begin)
 	}
 	f.after(4*time.Second, begin)
 }
@@ -133,6 +139,18 @@
 	f.after(f.between(500*time.Millisecond, 9*time.Second), l.resume)
 }
 
+// pauseEntryShortly delays an entry as a busy machine does.
+func (f *fleet) pauseEntryShortly(e *fleetEntry, _ *fleetWorker) {
+	for i := range 1 + f.random.IntN(10) {
+		f.after(time.Duration(i)*f.between(200*time.Millisecond, time.Second), func() {
+			if l := e.life; l != nil && l.pauses == 0 {
+				l.pause()
+				f.after(f.between(10*time.Millisecond, 500*time.Millisecond), l.resume)
+			}
+		})
+	}
+}
+
 func (f *fleet) killEntry(e *fleetEntry, _ *fleetWorker) {
 	if e.life == nil {
 		return
@@ -316,4 +334,28 @@
 	f.after(d, f.store.comeUp)
 }
 
-func (f *fleet) compactHistory(*fleetEntry, *fleetWorker) { f.store.compact() }
+// splitAround cuts an entry off from the store and leaves it alone with a worker, which restarts there.
+func (f *fleet) splitAround(e *fleetEntry, w *fleetWorker) {
+	f.noteFault("%s is cut off from the store, and later left alone with %s", e.id, w.address)
+	f.during(f.between(4*time.Second, 9*time.Second), &e.cuts)
+	f.after(f.between(time.Second, 4*time.Second), func() {
+		d, fault := f.between(4*time.Second, 14*time.Second), f.linkFault()
+		f.during(d, &w.cuts)
+		for _, other := range f.entries {
+			if other != e {
+				f.during(d, fault.of(other.link(w.address)))
+			}
+		}
+		f.after(f.between(0, time.Second), func() { f.restartWorker(e, w) })
+	})
+}
+
+func (f *fleet) restartAfterLateOrders(e *fleetEntry, w *fleetWorker) {
+	f.delayOrders(e, w)
+	f.after(f.between(500*time.Millisecond, 6*time.Second), func() { f.restartWorker(e, w) })
+}
+
+func (f *fleet) compactHistory(*fleetEntry, *fleetWorker) {
+	f.noteFault("the history is compacted")
+	f.store.compact()
+}
--- a/internal/coordination/scheduler/fleetworker_test.go
+++ b/internal/coordination/scheduler/fleetworker_test.go
@@ -64,7 +64,8 @@
 	stopping bool
 	killed   bool
 	gone     bool
-	pace     int
+	// strayed means that the start was sent to an earlier boot of the worker.
+	strayed bool
 }
 
 type fleetEnd struct {
@@ -260,7 +261,7 @@
 
 // begin starts a run, which ends after the time that its payload says.
 func (p *workerProcess) begin(o dispatch.Start) {
-	r := &fleetRun{Run: o.Run, process: p, pace: 100}
+	r := &fleetRun{Run: o.Run, process: p}
 	p.note(r.Task.String(), "starts run %d, ordered under epoch %d", r.Number, o.Epoch)
 	p.f.runStarted(r)
 	p.runs[r.Run] = r
