Keep removed jobs from coming back with a list of all jobs

After a compaction of the store's history, the leader lists all jobs. If it removed ended jobs while that list was on its way, it took them for new ones and ran all their tasks again. It now takes from such a list only jobs that are newer than what it has read.

--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -90,6 +90,10 @@
 		return
 	}
 	c.readSucceeded(&l.jobsRetry, "jobs")
+	if ev.Complete {
+		// Older jobs have been read before. This leader may have removed some of them since the list was read.
+		ev.Jobs = slices.DeleteFunc(ev.Jobs, func(r job.Record) bool { return r.Revision <= l.jobsRevision })
+	}
 	l.jobsRevision = max(l.jobsRevision, ev.Revision)
 	c.loadJobs(now, ev.Jobs, nil, !ev.Complete && l.dispatcher.AcceptedSinceTakeover(now))
 	c.watchJobs()
--- a/internal/coordination/scheduler/succession_test.go
+++ b/internal/coordination/scheduler/succession_test.go
@@ -190,10 +190,31 @@
 	})
 	c.step(n, JobsRead{
 		Term: n.core.leadership.term, Complete: true,
-		Jobs: []job.Record{{Key: job.Key("bad"), Value: &job.Job{ID: "bad", Steps: steps}}},
+		Jobs: []job.Record{{Key: job.Key("bad"), Revision: n.core.leadership.jobsRevision + 1, Value: &job.Job{ID: "bad", Steps: steps}}},
 	})
 	for id, known := range map[job.ID]bool{"good": true, "bad": false} {
 		c.step(n, InspectRequested{ReplyTo: 1, Job: id})
 		assert.Equal(t, n.replies[1].(Inspection).Known, known, id)
 	}
 }
+
+// Guards against a leader that runs a job again which it has removed: a list of all jobs that was read before the removal
+// arrived after it.
+func TestRemovedJobDoesNotComeBack(t *testing.T) {
+	c := newCluster(t, "a")
+	c.run(time.Second)
+	n := c.nodes[0]
+	record := func(id job.ID, revision model.Revision) job.Record {
+		return job.Record{Key: job.Key(id), Revision: revision, Value: &job.Job{ID: id, Steps: []job.Step{{Tasks: 1}}}}
+	}
+	read := n.core.leadership.jobsRevision + 10
+	c.step(n, JobsRead{Term: n.core.leadership.term, Revision: read})
+	c.step(n, JobsRead{
+		Term: n.core.leadership.term, Revision: read + 5, Complete: true,
+		Jobs: []job.Record{record("removed", read-1), record("new", read+1)},
+	})
+	for id, known := range map[job.ID]bool{"removed": false, "new": true} {
+		c.step(n, InspectRequested{ReplyTo: 1, Job: id})
+		assert.Equal(t, n.replies[1].(Inspection).Known, known, id)
+	}
+}
