Wait for runs that were listed before their task was known

A replaced leader may start tasks of a job that is stored after its successor has read the jobs, or of an occurrence that is not due yet by the successor's clock. The successor adopted such runs without a task, stopped them, and started the tasks again before they had ended. It now assigns the runs as soon as it knows the tasks.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -95,6 +95,8 @@
 	// memoryPerCPU is the moving average of the memory demand, in bytes per thousandth of a core, of tasks that are
 	// neither best-effort nor long-running.
 	memoryPerCPU float64
+	// unassignedRuns are adopted runs whose tasks this leader does not know yet, if it ever will.
+	unassignedRuns map[job.ID][]*run
 	// toRetry are the runs with an order that is sent again, or with a probe that is sent, at some time.
 	toRetry []*run
 	// relocateCursor is the index in sortedWorkers of the worker that relocate searched last.
@@ -117,8 +119,9 @@
 		settings: settings, epoch: epoch, lastRun: job.RunNumber(epoch) << runBits,
 		routes: make(map[job.Queue]job.Route), jobs: make(map[job.ID]*jobState),
 		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
-		refuted:     make(map[model.WorkerID]refutedEntry),
-		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
+		refuted:        make(map[model.WorkerID]refutedEntry),
+		unassignedRuns: make(map[job.ID][]*run),
+		pendingJobs:    make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
 		relays: relays{offered: make(map[model.EntryID]*relayState)},
 	}
 }
--- a/internal/coordination/dispatch/occurrence.go
+++ b/internal/coordination/dispatch/occurrence.go
@@ -40,6 +40,7 @@
 	}
 	j.occurrences = append(j.occurrences, o)
 	j.opened = max(j.opened, number+1)
+	d.assignRuns(j)
 	d.passNeeded = true
 }
 
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -257,11 +257,12 @@
 	r.size = d.adoptedSize(w, key.Task)
 	if j, ok := d.jobs[key.Task.Job]; ok {
 		if t := j.findTask(key.Task.Key()); t != nil {
-			r.task = t
-			t.runs = append(t.runs, r)
-			t.updateWaiting()
+			t.addRun(r)
 		}
 	}
+	if r.task == nil {
+		d.unassignedRuns[key.Task.Job] = append(d.unassignedRuns[key.Task.Job], r)
+	}
 	d.reserve(r)
 	if r.task == nil || r.task.done || r.task.owner.phase.Final() ||
 		(len(r.task.runs) > 1 && !r.task.step.Speculative) {
@@ -272,6 +273,45 @@
 	return r
 }
 
+func (t *task) addRun(r *run) {
+	r.task = t
+	t.runs = append(t.runs, r)
+	t.updateWaiting()
+}
+
+// assignRuns assigns the runs that were adopted before their tasks were known. A replaced leader may have started tasks of
+// a job, or of an occurrence, that this one learns of only afterwards; they must not start again until those runs are gone.
+func (d *Dispatcher) assignRuns(j *jobState) {
+	waiting := d.unassignedRuns[j.ID]
+	if len(waiting) == 0 {
+		return
+	}
+	delete(d.unassignedRuns, j.ID)
+	for _, r := range waiting {
+		t := j.findTask(r.Task.Key())
+		if t == nil {
+			d.unassignedRuns[j.ID] = append(d.unassignedRuns[j.ID], r)
+			continue
+		}
+		d.release(r)
+		r.size = j.sizes[r.Task.Step]
+		t.addRun(r)
+		d.reserve(r)
+		d.markStarted(j)
+	}
+}
+
+// forgetUnassigned removes a run that is gone from those whose tasks are not known.
+func (d *Dispatcher) forgetUnassigned(r *run) {
+	id := r.Task.Job
+	left := slices.DeleteFunc(d.unassignedRuns[id], func(other *run) bool { return other == r })
+	if len(left) == 0 {
+		delete(d.unassignedRuns, id)
+		return
+	}
+	d.unassignedRuns[id] = left
+}
+
 // adoptedSize returns what an adopted run takes of its worker's capacity until it is gone. If its job is not known, that
 // is all that is free.
 func (d *Dispatcher) adoptedSize(w *worker, t job.Task) model.Resources {
@@ -297,6 +337,7 @@
 	d.passNeeded = true
 	t := r.task
 	if t == nil {
+		d.forgetUnassigned(r)
 		return
 	}
 	if at := slices.Index(t.runs, r); at >= 0 {
