--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -124,7 +123,7 @@
 
 // AddJob adds an accepted job that was stored at a revision.
 func (d *Dispatcher) AddJob(now time.Time, j job.Job, progress *job.Progress, revision model.Revision) {
-	if _, known := d.jobs[j.ID]; known || revision < d.removedJobs[j.ID] {
+	if _, known := d.jobs[j.ID]; known {
 		return
 	}
 	state := &jobState{Job: j, sinceTakeover: d.storedSinceTakeover(revision)}
@@ -152,12 +151,6 @@
 	d.passNeeded = true
 }
 
-// ForgetRemovals is called when all changes of jobs up to a revision have been read: no later read returns a job that was
-// removed before.
-func (d *Dispatcher) ForgetRemovals(revision model.Revision) {
-	maps.DeleteFunc(d.removedJobs, func(_ job.ID, removed model.Revision) bool { return removed <= revision })
-}
-
 // memoryRatioWeight is the weight of a new job in the moving average of the tasks' ratio of memory to CPU.
 const memoryRatioWeight = 0.05
 
