--- a/internal/transport/jobdaemon/drops_test.go
+++ b/internal/transport/jobdaemon/drops_test.go
@@ -18,10 +18,9 @@
 func TestDroppedLinesAreReportedByClassWhileTheProcessRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		var dropped event.DroppedLines
+		dropped := event.DroppedLines{Bulk: 5, Essential: 2}
 		ctx, cancel := context.WithCancel(t.Context())
 		go reportDroppedLines(ctx, event.NewLogger(&out, "info", "json"), func() event.DroppedLines { return dropped })
-		dropped = event.DroppedLines{Bulk: 5, Essential: 2}
 		time.Sleep(3*dropReportInterval + time.Second)
 		cancel()
 		synctest.Wait()
