Open the occurrences that a worker lists

A leader whose clock is behind that of its predecessor had not opened the newest occurrences of a recurring job when the workers listed ends of them. It ignored and acknowledged these ends, and ran the tasks again once the occurrence was due. A listed run or end now opens the occurrence.

--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -18,6 +18,7 @@
 	if !ok {
 		return
 	}
+	d.openListed(j, end.Task.Occurrence, now)
 	t := j.findTask(end.Task.Key())
 	if t == nil {
 		return
--- a/internal/coordination/dispatch/latejob_test.go
+++ b/internal/coordination/dispatch/latejob_test.go
@@ -46,3 +46,34 @@
 		assert.Equal(t, len(sim.leader.unassignedRuns), 0)
 	}
 }
+
+// Guards against ends that are acknowledged and lost: the clock of the leader was behind that of its predecessor, so that
+// the occurrence to which they belong was not due yet. Its tasks ran again.
+func TestEndsThatAreListedBeforeTheirOccurrenceIsDue(t *testing.T) {
+	sim := newSimulation(1, 3)
+	starts := 0
+	for _, s := range sim.workers {
+		s.outcome = func(job.Run) (job.EndKind, time.Duration) {
+			starts++
+			return job.EndDone, 300 * time.Millisecond
+		}
+	}
+	sim.advanceTime(time.Second)
+	j := plainJob("a", 6)
+	j.Schedule = job.Schedule{Times: 2, First: sim.now.Add(-time.Second), Interval: time.Second}
+	sim.submit(j)
+	sim.advanceTime(100 * time.Millisecond)
+	assert.Equal(t, starts, 12)
+	for _, s := range sim.workers {
+		s.unreachable = true
+	}
+	sim.advanceTime(500 * time.Millisecond)
+	for _, s := range sim.workers {
+		s.unreachable = false
+	}
+	sim.store.jobs[0].First = sim.now.Add(500 * time.Millisecond)
+	sim.electLeader(0)
+	sim.advanceTime(4 * time.Second)
+	assert.Equal(t, starts, 12)
+	assert.Equal(t, sim.phase("a"), job.Completed)
+}
--- a/internal/coordination/dispatch/occurrence.go
+++ b/internal/coordination/dispatch/occurrence.go
@@ -47,6 +47,14 @@
 // openNext opens the next occurrence of a job.
 func (d *Dispatcher) openNext(j *jobState, now time.Time) { d.openOccurrence(j, j.opened, now) }
 
+// openListed opens the occurrences up to one that a worker lists. An earlier leader has opened them, whose clock may be
+// ahead of this one's.
+func (d *Dispatcher) openListed(j *jobState, number int, now time.Time) {
+	for !j.phase.Final() && j.opened <= number && j.opened < j.Times {
+		d.openNext(j, now)
+	}
+}
+
 // openDueOccurrences opens the scheduled occurrences that are due.
 func (d *Dispatcher) openDueOccurrences(now time.Time) {
 	for _, j := range d.openJobs {
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -256,6 +256,7 @@
 	w.add(r)
 	r.size = d.adoptedSize(w, key.Task)
 	if j, ok := d.jobs[key.Task.Job]; ok {
+		d.openListed(j, key.Task.Occurrence, now)
 		if t := j.findTask(key.Task.Key()); t != nil {
 			t.addRun(r)
 		}
@@ -279,8 +280,8 @@
 	t.updateWaiting()
 }
 
-// assignRuns assigns the runs that were adopted before their tasks were known. A replaced leader may have started tasks of
-// a job, or of an occurrence, that this one learns of only afterwards; they must not start again until those runs are gone.
+// assignRuns assigns the runs that were adopted before their job was known. A replaced leader may have started tasks of a
+// job that this one reads only afterwards; they must not start again until those runs are gone.
 func (d *Dispatcher) assignRuns(j *jobState) {
 	waiting := d.unassignedRuns[j.ID]
 	if len(waiting) == 0 {
