--- a/internal/coordination/scheduler/fleet_test.go
+++ b/internal/coordination/scheduler/fleet_test.go
@@ -230,10 +230,11 @@
 	}
 }
 
-// mark tells an order that a later boot of its worker has carried out.
+// mark tells what a later boot of a worker has done, or for how long it has held its lease, because of an order that was
+// sent to an earlier one.
 func mark(strayed bool) string {
 	if strayed {
-		return " (ordered from an earlier boot)"
+		return " (order to an earlier boot)"
 	}
 	return ""
 }
@@ -244,8 +245,9 @@
 	state := f.taskOf(r.Task)
 	r.strayed = f.reachedLaterBoot
 	for other := range state.live {
+		strayed := other.strayed || other.process.leaseStrayed && other.process != r.process
 		f.violate(r.Task, "run %d%s starts on %s while run %d%s is on %s", r.Number, mark(r.strayed), r.process.id, other.Number,
-			mark(other.strayed), other.process.id)
+			mark(strayed), other.process.id)
 	}
 	if !state.doneAt.IsZero() {
 		f.violate(r.Task, "run %d%s starts on %s after an acknowledged end%s at %.3f s", r.Number, mark(r.strayed), r.process.id,
--- a/internal/coordination/scheduler/fleetfaults_test.go
+++ b/internal/coordination/scheduler/fleetfaults_test.go
@@ -24,12 +24,14 @@
 		if f.elapsed() > until {
 			return
 		}
-		switch f.random.IntN(5) {
+		switch f.random.IntN(8) {
 		case 0:
 			f.storeJob(job.Step{Tasks: 1 + f.random.IntN(6), Estimate: f.between(2*time.Second, 8*time.Second)})
 		case 1:
 			f.storeJob(job.Step{Tasks: 1 + f.random.IntN(2), Estimate: f.between(50*time.Millisecond, 900*time.Millisecond)},
 				job.Step{Tasks: 1 + f.random.IntN(2), Estimate: f.between(50*time.Millisecond, 2*time.Second), After: []int{0}})
+		case 2:
+			f.storeRecurringJob()
 		default:
 			f.storeJob(job.Step{Tasks: 1 + f.random.IntN(4), Estimate: f.between(50*time.Millisecond, 900*time.Millisecond)})
 		}
@@ -41,14 +43,26 @@
 	f.after(2*time.Second, next)
 }
 
-func (f *fleet) storeJob(steps ...job.Step) {
+func (f *fleet) storeJob(steps ...job.Step) { f.submit(job.Schedule{}, steps) }
+
+// storeRecurringJob stores a job whose occurrences fall due on the clocks of the entries, which differ.
+func (f *fleet) storeRecurringJob() {
+	f.submit(job.Schedule{
+		Times: 1 + f.random.IntN(6), First: f.now.Add(f.between(0, 3*time.Second)),
+		Interval: f.between(300*time.Millisecond, 2*time.Second),
+	}, []job.Step{{Tasks: 1 + f.random.IntN(3), Estimate: f.between(50*time.Millisecond, 2*time.Second)}})
+}
+
+func (f *fleet) submit(schedule job.Schedule, steps []job.Step) {
 	if f.store.downs > 0 {
 		return
 	}
 	for i := range steps {
 		steps[i].Size = model.Resources{CPUMillis: 1000, MemoryBytes: 1 << 30}
 	}
-	j := &job.Job{ID: job.ID(fmt.Sprintf("j%03d", len(f.jobIDs))), Queue: "q", Steps: steps, Accepted: f.now}
+	j := &job.Job{
+		ID: job.ID(fmt.Sprintf("j%03d", len(f.jobIDs))), Queue: "q", Steps: steps, Schedule: schedule, Accepted: f.now,
+	}
 	f.jobs[j.ID], f.jobIDs = j, append(f.jobIDs, j.ID)
 	f.store.put(job.Key(j.ID), j)
 }
--- a/internal/coordination/scheduler/fleetworker_test.go
+++ b/internal/coordination/scheduler/fleetworker_test.go
@@ -47,14 +47,16 @@
 	draining bool
 	closed   bool
 	// heardAt is when the store last got its heartbeat.
-	heardAt    time.Time
-	epoch      model.Epoch
-	leaseEnd   time.Duration
-	runs       map[job.Run]*fleetRun
-	highestRun map[job.Task]job.RunNumber
-	ends       []*fleetEnd
-	sequence   int64
-	holds      []*waitingHold
+	heardAt  time.Time
+	epoch    model.Epoch
+	leaseEnd time.Duration
+	// leaseStrayed means that the order that extended the lease last was sent to an earlier boot.
+	leaseStrayed bool
+	runs         map[job.Run]*fleetRun
+	highestRun   map[job.Task]job.RunNumber
+	ends         []*fleetEnd
+	sequence     int64
+	holds        []*waitingHold
 }
 
 type fleetRun struct {
@@ -209,7 +211,9 @@
 			e.lapsed = true
 		}
 	}
-	p.leaseEnd = max(p.leaseEnd, min(end, p.clock()+fleetMaxLease))
+	if end = min(end, p.clock()+fleetMaxLease); end > p.leaseEnd {
+		p.leaseEnd, p.leaseStrayed = end, p.f.reachedLaterBoot
+	}
 	p.checkLeaseLater()
 }
 
