Stop late copies of starts on a worker that has restarted

Runs with an unanswered copy are stopped on the new boot before they count as gone: a worker refuses runs that were stopped there. Not covered: copies of runs that had ended before the restart.

--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -123,6 +123,7 @@
 	d.load.inventories++
 	if w.boot != 0 && inv.Boot != w.boot {
 		d.workerRestarted(now, w, inv.Boot)
+		d.stopUnansweredStarts(now, w)
 	} else {
 		w.deliveredAcknowledgement = max(w.deliveredAcknowledgement, w.sentAcknowledgement)
 	}
