--- a/internal/coordination/dispatch/lease_test.go
+++ b/internal/coordination/dispatch/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/jujubearch/jujubearch/internal/state/job"
 )
 
-// busyWorker runs tasks of one job on three workers and returns one of these.
+// busyWorker runs tasks of one job, each for a minute, and returns one of the workers that run them.
 func busyWorker(t *testing.T, sim *simulation, tasks int) *simWorker {
 	for _, s := range sim.workers {
 		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
--- a/internal/coordination/dispatch/leaving_test.go
+++ b/internal/coordination/dispatch/leaving_test.go
@@ -13,15 +13,8 @@
 // entry in the list expires. The leader took the refusal as proof that the worker had left, and started its tasks elsewhere.
 func TestRefusedConnectionIsNoProofThatAWorkerHasLeft(t *testing.T) {
 	sim := newSimulation(1, 3)
-	for _, s := range sim.workers {
-		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
-	}
-	sim.advanceTime(time.Second)
-	sim.submit(plainJob("a", 12))
-	sim.advanceTime(time.Second)
-	far := sim.sortedWorkers()[0]
+	far := busyWorker(t, sim, 12)
 	runs := len(far.runs)
-	assert.Assert(t, runs > 0)
 	far.draining = true
 	sim.advanceTime(time.Second)
 	far.refusing = true
@@ -40,14 +33,7 @@
 // Guards against tasks that wait for the longest lease after their worker has left, although it had announced that it would.
 func TestTasksOfAWorkerThatHasLeftStartElsewhereSoon(t *testing.T) {
 	sim := newSimulation(1, 3)
-	for _, s := range sim.workers {
-		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
-	}
-	sim.advanceTime(time.Second)
-	sim.submit(plainJob("a", 12))
-	sim.advanceTime(time.Second)
-	leaving := sim.sortedWorkers()[0]
-	assert.Assert(t, len(leaving.runs) > 0)
+	leaving := busyWorker(t, sim, 12)
 	leaving.draining = true
 	sim.advanceTime(3 * time.Second)
 	assert.Assert(t, len(leaving.runs) > 0, "the leases of a worker that drains are renewed")
--- a/internal/coordination/dispatch/restart_test.go
+++ b/internal/coordination/dispatch/restart_test.go
@@ -13,14 +13,8 @@
 // leader that was replaced may start tasks there which its successor has started elsewhere.
 func TestLeaderWithoutTheStoreStartsNothingOnARestartedWorker(t *testing.T) {
 	sim := newSimulation(1, 3)
-	for _, s := range sim.workers {
-		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
-	}
-	sim.advanceTime(time.Second)
-	sim.submit(plainJob("a", 30))
-	sim.advanceTime(2 * time.Second)
+	restarted := busyWorker(t, sim, 30)
 	assert.Equal(t, runningTasks(sim), 24, "the workers are full")
-	restarted := sim.sortedWorkers()[0]
 	assert.Equal(t, len(restarted.runs), 8)
 	sim.store.unavailable = true
 	sim.advanceTime(time.Second)
@@ -39,13 +33,7 @@
 // the store does not confirm the leader any more.
 func TestNewLeaderWithoutTheStoreStartsNothingOnARestartedWorker(t *testing.T) {
 	sim := newSimulation(1, 2)
-	for _, s := range sim.workers {
-		s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Minute }
-	}
-	sim.advanceTime(time.Second)
-	sim.submit(plainJob("a", 20))
-	sim.advanceTime(2 * time.Second)
-	restarted := sim.sortedWorkers()[0]
+	restarted := busyWorker(t, sim, 20)
 	sim.electLeader(0)
 	sim.store.unavailable = true
 	restarted.unreachable = true
