Take no worker at the address of a draining one as proof that its tasks have ended

A process that shuts down in an orderly way may give its address up before its tasks have ended; the leader then started them elsewhere, all at once.

The tasks of a draining worker are released by its own word or the end of its leases now. For a worker that does not drain the proof stands: its process has crashed, and a later life is at its address.

--- a/internal/coordination/dispatch/leaving_test.go
+++ b/internal/coordination/dispatch/leaving_test.go
@@ -44,3 +44,21 @@
 	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
 	assert.Equal(t, runningTasks(sim), 12)
 }
+
+// Guards against two runs of one task: another worker answers at the address of one that drains and whose tasks have not ended
+// yet. The leader took that as proof that they had, and started them elsewhere.
+func TestSuccessorAtTheAddressOfADrainingWorkerProvesNothing(t *testing.T) {
+	sim := newSimulation(1, 3)
+	leaving := busyWorker(t, sim, 12)
+	runs := len(leaving.runs)
+	leaving.draining = true
+	sim.advanceTime(2 * time.Second)
+	leaving.unlisted = true
+	sim.addWorker("w77").address = leaving.address
+	sim.advanceTime(time.Second)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, len(leaving.runs), runs, "the leases have not ended yet")
+	sim.advanceTime(drainingLease + time.Second)
+	assert.Equal(t, len(sim.violations), 0, "%v", sim.violations)
+	assert.Equal(t, runningTasks(sim), 12)
+}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -163,9 +163,10 @@
 }
 
 // refusedByAnotherBoot handles the response of another boot at an address, and reports whether it proves that the worker is
-// gone.
+// gone. That of a worker that drains proves nothing: a process that shuts down in an orderly way may give its address up
+// before its tasks have ended.
 func (d *Dispatcher) refusedByAnotherBoot(now time.Time, w *worker, address string) bool {
-	if !w.isKnownAt(address) {
+	if !w.isKnownAt(address) || w.Draining {
 		return false
 	}
 	if w.knownAddress == "" {
