Acknowledge no end before its job can be known

A replaced leader may start tasks of a job that its successor has not read yet. The successor ignored and acknowledged the ends of such tasks, and ran the tasks again once it, or the next leader, had read the job. Ends of unknown jobs that another leader has started are now kept, unacknowledged, until a watch of the jobs that was sent later has returned.

--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -39,6 +39,8 @@
 	dirtyJobs []*jobState
 	// changes counts the jobs that were added to dirtyJobs.
 	changes uint64
+	// unknownAt is the value for the next of uncoveredEnds.
+	unknownAt time.Time
 	// uncoveredEnds are processed ends that no batch covers yet, in the order in which they were processed.
 	uncoveredEnds []uncoveredEnds
 	inFlight      *batch
@@ -57,6 +59,9 @@
 	worker  *worker
 	ends    processedEnds
 	changes uint64
+	// unknownAt is when an end of an unknown job among them was processed; zero if there is none. They are not covered
+	// before the jobs have been read after that.
+	unknownAt time.Time
 }
 
 // processedEnds are the ends up to a sequence number that one boot of a worker has listed.
@@ -93,8 +98,9 @@
 // recordUncovered records that ends of a worker were processed.
 func (d *Dispatcher) recordUncovered(w *worker) {
 	d.commits.uncoveredEnds = append(d.commits.uncoveredEnds, uncoveredEnds{
-		worker: w, ends: processedEnds{w.lastProcessedEnd, w.boot}, changes: d.commits.changes,
+		worker: w, ends: processedEnds{w.lastProcessedEnd, w.boot}, changes: d.commits.changes, unknownAt: d.commits.unknownAt,
 	})
+	d.commits.unknownAt = time.Time{}
 }
 
 // takeDirtyJobs removes up to limit jobs from dirtyJobs and returns them: first those that have reached a final phase, for
@@ -125,7 +131,7 @@
 	covered := make(map[*worker]processedEnds)
 	for len(c.uncoveredEnds) > 0 {
 		e := c.uncoveredEnds[0]
-		if len(c.dirtyJobs) > 0 && c.dirtyJobs[0].changedAt <= e.changes {
+		if !e.unknownAt.IsZero() || len(c.dirtyJobs) > 0 && c.dirtyJobs[0].changedAt <= e.changes {
 			break
 		}
 		covered[e.worker] = e.ends
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -97,6 +97,8 @@
 	memoryPerCPU float64
 	// unassignedRuns are adopted runs whose tasks this leader does not know yet, if it ever will.
 	unassignedRuns map[job.ID][]*run
+	// unknownEnds are ends whose jobs this leader may not have read yet.
+	unknownEnds map[job.ID][]unknownEnd
 	// toRetry are the runs with an order that is sent again, or with a probe that is sent, at some time.
 	toRetry []*run
 	// relocateCursor is the index in sortedWorkers of the worker that relocate searched last.
@@ -120,8 +122,8 @@
 		routes: make(map[job.Queue]job.Route), jobs: make(map[job.ID]*jobState),
 		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
 		refuted:        make(map[model.WorkerID]refutedEntry),
-		unassignedRuns: make(map[job.ID][]*run),
-		pendingJobs:    make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
+		unassignedRuns: make(map[job.ID][]*run), unknownEnds: make(map[job.ID][]unknownEnd),
+		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
 		relays: relays{offered: make(map[model.EntryID]*relayState)},
 	}
 }
--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
+	"github.com/jujubearch/jujubearch/internal/state/model"
 	"github.com/jujubearch/jujubearch/internal/state/notice"
 )
 
@@ -16,6 +17,7 @@
 	}
 	j, ok := d.jobs[end.Task.Job]
 	if !ok {
+		d.keepUnknownEnd(now, w, end)
 		return
 	}
 	d.openListed(j, end.Task.Occurrence, now)
@@ -41,6 +43,46 @@
 	d.markStarted(j)
 }
 
+// unknownEnd is an end whose job this leader does not know.
+type unknownEnd struct {
+	worker *worker
+	end    job.EndedTask
+}
+
+// keepUnknownEnd keeps the end of a run that another leader has started until the jobs have been read again: that leader
+// may have read a job before this one. It is not acknowledged before, since a successor would know nothing of it either.
+func (d *Dispatcher) keepUnknownEnd(now time.Time, w *worker, end *job.EndedTask) {
+	if model.Epoch(end.Number>>runBits) >= d.epoch {
+		return
+	}
+	d.unknownEnds[end.Task.Job] = append(d.unknownEnds[end.Task.Job], unknownEnd{w, *end})
+	d.commits.unknownAt = now
+}
+
+// recordUnknownEnds handles the ends of a job that were listed before it was known.
+func (d *Dispatcher) recordUnknownEnds(now time.Time, j *jobState) {
+	ends := d.unknownEnds[j.ID]
+	delete(d.unknownEnds, j.ID)
+	for i := range ends {
+		d.recordEnd(now, ends[i].worker, &ends[i].end)
+	}
+}
+
+// JobsRead records that all jobs are known that were stored before a time.
+func (d *Dispatcher) JobsRead(before time.Time) {
+	c, waiting := &d.commits, false
+	for i := range c.uncoveredEnds {
+		e := &c.uncoveredEnds[i]
+		if !e.unknownAt.IsZero() && !before.Before(e.unknownAt) {
+			e.unknownAt, e.changes = time.Time{}, c.changes
+		}
+		waiting = waiting || !e.unknownAt.IsZero()
+	}
+	if !waiting {
+		clear(d.unknownEnds)
+	}
+}
+
 func (d *Dispatcher) taskDone(now time.Time, t *task, r *run) {
 	if t.done || t.step.LongRunning || t.owner.phase.Final() {
 		return
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -145,6 +145,7 @@
 		d.restoreProgress(state, progress, now)
 	}
 	d.openDueOccurrencesOf(state, now)
+	d.recordUnknownEnds(now, state)
 	d.passNeeded = true
 }
 
--- a/internal/coordination/scheduler/leader.go
+++ b/internal/coordination/scheduler/leader.go
@@ -86,9 +86,10 @@
 	dispatcher *dispatch.Dispatcher
 	// predecessorGrace is how long an earlier leader may still act; 0 if all have certainly stopped.
 	predecessorGrace time.Duration
-	// jobsRevision is where the next watch of the jobs continues.
-	jobsRevision model.Revision
-	jobsRetry    readRetry
+	// jobsRevision is where the next watch of the jobs continues, jobsWatchedAt when the last one was requested.
+	jobsRevision  model.Revision
+	jobsWatchedAt time.Time
+	jobsRetry     readRetry
 	// unreadableJobs are the jobs whose progress can't be decoded.
 	unreadableJobs map[job.ID]bool
 	// workers are the workers that the platform lists. workersRevision is where the next watch continues, 0 for a read
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -49,7 +49,7 @@
 	}
 	c.loadJobs(now, ev.Jobs, progress, false)
 	l.jobsRevision = ev.Revision
-	c.watchJobs()
+	c.watchJobs(now)
 	c.watchWorkers()
 	c.tickLeader(now)
 }
@@ -76,7 +76,8 @@
 	}
 }
 
-func (c *Core) watchJobs() {
+func (c *Core) watchJobs(now time.Time) {
+	c.leadership.jobsWatchedAt = now
 	c.emit(WatchJobs{Term: c.leadership.term, After: c.leadership.jobsRevision, Wait: watchTimeout})
 }
 
@@ -96,7 +97,8 @@
 	}
 	l.jobsRevision = max(l.jobsRevision, ev.Revision)
 	c.loadJobs(now, ev.Jobs, nil, !ev.Complete && l.dispatcher.AcceptedSinceTakeover(now))
-	c.watchJobs()
+	l.dispatcher.JobsRead(l.jobsWatchedAt)
+	c.watchJobs(now)
 }
 
 func (c *Core) watchWorkers() {
@@ -159,7 +161,7 @@
 		c.watchWorkers()
 	}
 	if l.jobsRetry.startIfDue(now) {
-		c.watchJobs()
+		c.watchJobs(now)
 	}
 	if l.resigning {
 		c.tryResign(now)
