--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -148,6 +148,7 @@
 		d.restoreProgress(state, progress, now)
 	}
 	d.openDueOccurrencesOf(state, now)
+	d.recordUnknownEnds(now, state)
 	d.passNeeded = true
 }
 
