--- a/internal/coordination/dispatch/registry.go
+++ b/internal/coordination/dispatch/registry.go
@@ -40,13 +40,16 @@
 // worker that has restarted no longer refuses the orders of a leader that was replaced, and the commit shows that this one
 // was not. If the stored entry differs, the registry is written; that of a worker which is not accounted for can't change.
 func (d *Dispatcher) updateOpen(w *worker) {
-	storedOpen := w.storedOpen && (w.boot == 0 || w.storedBoot == w.boot)
+	storedOpen := w.storedOpen && w.bootStored()
 	w.open = storedOpen && !w.closedToStarts()
 	if w.inheritedEntry == nil && storedOpen == w.closedToStarts() && (!storedOpen || !d.registry.withoutRuns) {
 		d.registry.dirty = true
 	}
 }
 
+// bootStored reports whether the stored registry has the worker with its present boot, or that is not known yet.
+func (w *worker) bootStored() bool { return w.boot == 0 || w.storedBoot == w.boot }
+
 // registryEntry returns the worker's entry for the registry. The entry of an earlier leader is kept unchanged until
 // the worker is accounted for.
 func (w *worker) registryEntry() job.RegisteredWorker {
