Wait for the report of dropped log lines at shutdown

Found by the review: the goroutine that reports dropped lines was not waited for, so that it could write to the log after its end and end the process with a panic. The new test failed before.

--- a/internal/transport/jobdaemon/daemon.go
+++ b/internal/transport/jobdaemon/daemon.go
@@ -66,7 +66,7 @@
 	hub          *relay.Hub
 	agent        *relay.Agent
 	droppedLines func() event.DroppedLines
-	stopReports  context.CancelFunc
+	stopReports  func()
 	callerServer *http.Server
 	servers      []*http.Server
 }
@@ -95,10 +95,9 @@
 		return nil, errors.Trace(err)
 	}
 	d.actor = actor
-	reports, stopReports := context.WithCancel(context.Background())
-	d.stopReports = stopReports
+	d.stopReports = func() {}
 	if d.droppedLines != nil {
-		go reportDroppedLines(reports, logger, d.droppedLines)
+		d.stopReports = startDropReports(logger, d.droppedLines)
 	}
 	d.hub.Attach(actor)
 	service := &jobs.Service{
--- a/internal/transport/jobdaemon/drops.go
+++ b/internal/transport/jobdaemon/drops.go
@@ -13,6 +13,21 @@
 // so a report must follow soon after each gap.
 const dropReportInterval = 10 * time.Second
 
+// startDropReports reports dropped log lines until the returned function is called, which waits for a report that is being
+// written: the log may be closed after that.
+func startDropReports(logger *slog.Logger, count func() event.DroppedLines) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		reportDroppedLines(ctx, logger, count)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // reportDroppedLines logs the number of dropped log lines when it has grown, so that the log of a process that is killed
 // shows that it has gaps.
 func reportDroppedLines(ctx context.Context, logger *slog.Logger, count func() event.DroppedLines) {
--- a/internal/transport/jobdaemon/drops_test.go
+++ b/internal/transport/jobdaemon/drops_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,12 +18,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
 		dropped := event.DroppedLines{Bulk: 5, Essential: 2}
-		ctx, cancel := context.WithCancel(t.Context())
-		go reportDroppedLines(ctx, event.NewLogger(&out, "info", "json"), func() event.DroppedLines { return dropped })
+		stop := startDropReports(event.NewLogger(&out, "info", "json"), func() event.DroppedLines { return dropped })
 		time.Sleep(3*dropReportInterval + time.Second)
-		cancel()
-		synctest.Wait()
+		stop()
 		assert.Equal(t, strings.Count(out.String(), "\n"), 1)
 		assert.Assert(t, strings.Contains(out.String(), `"lines":7,"bulk":5,"essential":2`), "%s", out.String())
 	})
 }
+
+// slowWriter takes a second for each line.
+type slowWriter struct{ written int }
+
+func (w *slowWriter) Write(line []byte) (int, error) {
+	time.Sleep(time.Second)
+	w.written++
+	return len(line), nil
+}
+
+// Guards against a report that is written after the log was closed, which ends the process with a panic.
+func TestNoDroppedLinesAreReportedOnceStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &slowWriter{}
+		dropped := event.DroppedLines{Bulk: 1}
+		stop := startDropReports(event.NewLogger(out, "info", "json"), func() event.DroppedLines { return dropped })
+		time.Sleep(dropReportInterval + 500*time.Millisecond)
+		stop()
+		assert.Equal(t, out.written, 1, "the report that was being written is complete")
+	})
+}
