Let the leases of draining workers outlast the change of a failed leader

Found by the review: of 3.5 s as little as 2.4 s may be left when a leader fails, since a hold may wait for a second, while a successor needs up to some 2.6 s to renew the leases (2 s until the record expires, its election, and two holds). Tasks on draining workers would have been lost with the leader. 4.5 s are requested now.

--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -35,8 +35,9 @@
 	// the request.
 	leaseRequestMargin = 50 * time.Millisecond
 	// drainingLease is requested instead of the longest lease while a worker drains. Once it has left, only the end of its
-	// leases proves that its tasks have ended, and they start elsewhere sooner. It outlasts the change of a failed leader.
-	drainingLease = 3500 * time.Millisecond
+	// leases proves that its tasks have ended, and they start elsewhere sooner. A hold may wait for a second, and what is left
+	// then outlasts the change of a failed leader.
+	drainingLease = 4500 * time.Millisecond
 	// maxAnswerAge is the maximum age of a worker's last answer for starts to be sent to it and its leases to be renewed.
 	maxAnswerAge = 1800 * time.Millisecond
 )
