Open no occurrences for one that the job does not have

Found by the review: a worker that lists an occurrence beyond the last one opened all remaining ones of the job at once. The test failed before with 50 open occurrences.

--- a/internal/coordination/dispatch/latejob_test.go
+++ b/internal/coordination/dispatch/latejob_test.go
@@ -137,3 +137,18 @@
 	assert.Equal(t, len(sim.workers["w00"].endedRuns), 0)
 	assert.Equal(t, len(sim.leader.unknownEnds), 0)
 }
+
+// Guards against a worker that lists an occurrence which the job does not have: all remaining ones were opened at once.
+func TestListedOccurrenceBeyondTheLastOpensNone(t *testing.T) {
+	sim := newSimulation(1, 2)
+	sim.advanceTime(time.Second)
+	j := plainJob("a", 1)
+	j.Schedule = job.Schedule{Times: 50, First: sim.now.Add(time.Hour), Interval: time.Hour}
+	sim.submit(j)
+	s := sim.workers["w00"]
+	s.sequence++
+	listed := job.Run{Task: job.Task{Job: "a", Occurrence: 50}, Number: 1}
+	s.endedRuns = append(s.endedRuns, job.EndedTask{Run: listed, Sequence: s.sequence, Kind: job.EndDone})
+	sim.advanceTime(2 * time.Second)
+	assert.Equal(t, sim.leader.jobs["a"].opened, 0)
+}
--- a/internal/coordination/dispatch/occurrence.go
+++ b/internal/coordination/dispatch/occurrence.go
@@ -50,7 +50,7 @@
 // openListed opens the occurrences up to one that a worker lists. An earlier leader has opened them, whose clock may be
 // ahead of this one's.
 func (d *Dispatcher) openListed(j *jobState, number int, now time.Time) {
-	for !j.phase.Final() && j.opened <= number && j.opened < j.Times {
+	for !j.phase.Final() && j.opened <= number && number < j.Times {
 		d.openNext(j, now)
 	}
 }
