Log the steps that a placement pass does not reach, and those that no worker can run

Callers saw a job stay "active" with nothing running on idle workers. The log had nothing about its second step: 7209 is written only for a step that a pass looks at, and gave "room" as the reason for steps that ask for accelerators which no worker has. So it could not tell a pass that ends too early from a step that finds no worker.

7109 has `unreached_steps` and `hopeless_steps` now, and 7209 the reason "fleet" with `needs`.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -101,6 +101,8 @@
 	unknownEnds map[job.ID][]unknownEnd
 	// toRetry are the runs with an order that is sent again, or with a probe that is sent, at some time.
 	toRetry []*run
+	// fleetVersion counts the changes of what the listed workers offer. It starts at 1.
+	fleetVersion uint64
 	// relocateCursor is the index in sortedWorkers of the worker that relocate searched last.
 	relocateCursor int
 	// candidateCursor is the index in sortedWorkers at which the candidates for the next best-effort step begin.
@@ -123,7 +125,7 @@
 		workers: make(map[model.WorkerID]*worker), registered: make(map[model.WorkerID]bool),
 		refuted:        make(map[model.WorkerID]refutedEntry),
 		unassignedRuns: make(map[job.ID][]*run), unknownEnds: make(map[job.ID][]unknownEnd),
-		pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
+		fleetVersion: 1, pendingJobs: make(map[job.Queue]int), interference: newInterferenceModel(), stepKinds: make(map[stepKind]int),
 		relays: relays{offered: make(map[model.EntryID]*relayState)},
 	}
 }
@@ -159,7 +161,7 @@
 	for _, r := range routes {
 		d.routes[r.Queue] = r
 	}
-	d.passNeeded = true
+	d.fleetChanged()
 }
 
 // Tick does the periodic work: retries, timeouts and placement. It is called at a fixed interval.
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -76,6 +76,9 @@
 	waitLogged bool
 	// load estimates the load of the tasks of a serving step.
 	load loadFilter
+	// unmet is what the step needs that the fleet did not offer when the dispatcher's fleetVersion was fitCheckedAt.
+	unmet        requirement
+	fitCheckedAt uint64
 	// permits are used where the queue's policy requires advice.
 	permits stepPermits
 }
@@ -258,6 +261,22 @@
 	return false
 }
 
+// readySteps returns the number of steps with tasks that could start.
+func (j *jobState) readySteps() int {
+	ready := 0
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.ready() {
+				ready++
+			}
+		}
+	}
+	return ready
+}
+
+// ready reports whether the step has tasks that could start.
+func (s *step) ready() bool { return s.waiting > 0 && s.pendingDependencies == 0 }
+
 func (d *Dispatcher) markStarted(j *jobState) {
 	if !j.started {
 		j.started = true
--- a/internal/coordination/dispatch/load.go
+++ b/internal/coordination/dispatch/load.go
@@ -17,6 +17,9 @@
 	// Inventories, Starts and Candidates count the inventories handled, the starts sent and the workers that were examined
 	// for a task; Passes counts the placement passes over all work.
 	Inventories, Starts, Candidates, Passes int
+	// UnreachedSteps is the largest number of steps with ready tasks that one pass did not look at, because others before
+	// them found no worker. HopelessSteps are those that need what no worker of the fleet offers.
+	UnreachedSteps, HopelessSteps int
 	// OpenJobs is the number of jobs that have not ended.
 	OpenJobs int
 	// WaitingShort, WaitingBestEffort and WaitingLongRunning are the tasks that could start but have no run.
@@ -38,6 +41,7 @@
 type loadCounters struct {
 	sampledAt                               time.Time
 	inventories, starts, candidates, passes int
+	unreachedSteps                          int
 	longestUncommitted                      time.Duration
 }
 
@@ -53,13 +57,14 @@
 	}
 	s := LoadSample{
 		Since: since, Inventories: d.load.inventories, Starts: d.load.starts, Candidates: d.load.candidates,
-		Passes: d.load.passes, OpenJobs: len(d.openJobs),
+		Passes: d.load.passes, UnreachedSteps: d.load.unreachedSteps, OpenJobs: len(d.openJobs),
 		UncommittedJobs: len(d.commits.dirtyJobs), LongestUncommitted: d.load.longestUncommitted,
 	}
 	d.load = loadCounters{sampledAt: now}
 	for _, j := range d.openJobs {
 		if j.waiting > 0 {
 			s.addWaiting(j)
+			s.HopelessSteps += d.hopelessSteps(j)
 		}
 	}
 	for _, w := range d.sortedWorkers {
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -32,6 +32,7 @@
 	p.placeJobs(false)
 	p.placeJobs(true)
 	d.reserved = p.reserved
+	d.load.unreachedSteps = max(d.load.unreachedSteps, p.unreachedSteps)
 	if p.unplacedSteps > 0 {
 		d.nextPass = now.Add(passInterval)
 	}
@@ -65,6 +66,8 @@
 	tooLarge unplacedSizes
 	// unplacedSteps counts the steps with a task for which no worker was found.
 	unplacedSteps int
+	// unreachedSteps counts the steps with ready tasks that the pass did not look at.
+	unreachedSteps int
 	// rejectedKinds holds the kinds of best-effort work that no worker accepted in this pass, with the highest value of
 	// such work. Further tasks of at most that value wait for the next pass.
 	rejectedKinds map[bestEffortKind]float64
@@ -116,8 +119,10 @@
 		return
 	}
 	t.step.waitLogged = true
-	reason := "room"
+	reason, needs := "room", p.d.unmetRequirement(t.step, route.Service)
 	switch {
+	case needs != fleetFits:
+		reason = "fleet"
 	case p.knownTooLarge(t.step, route):
 	case route.Advice != nil:
 		reason = "permit"
@@ -125,7 +130,8 @@
 		reason = "harm"
 	}
 	p.d.logEvent(notice.TaskWaits, Attr{Key: "job", Value: t.Job}, Attr{Key: "task", Value: t.String()},
-		Attr{Key: "waited", Value: waited}, Attr{Key: "reason", Value: reason}, Attr{Key: "late", Value: t.owner.late},
+		Attr{Key: "waited", Value: waited}, Attr{Key: "reason", Value: reason}, Attr{Key: "needs", Value: string(needs)},
+		Attr{Key: "late", Value: t.owner.late},
 		Attr{Key: "due", Value: t.owner.due})
 }
 
@@ -137,12 +143,14 @@
 // be completed in time, whereas a late job stays late wherever it runs.
 func (p *pass) placeJobs(late bool) {
 	for _, j := range p.d.openJobs {
-		if p.unplacedSteps >= maxUnplacedSteps {
-			return
+		if j.waiting == 0 || j.late != late || !p.d.mayPlace(j) {
+			continue
 		}
-		if j.waiting > 0 && j.late == late && p.d.mayPlace(j) {
-			p.placeJob(j)
+		if p.unplacedSteps >= maxUnplacedSteps {
+			p.unreachedSteps += j.readySteps()
+			continue
 		}
+		p.placeJob(j)
 	}
 }
 
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -188,6 +188,9 @@
 	}
 	for _, w := range d.sortedWorkers {
 		if !named[w.ID] {
+			if w.listed {
+				d.fleetChanged()
+			}
 			w.listed = false
 			d.updateOpen(w)
 		}
@@ -235,6 +238,9 @@
 	if info.DataCentre != w.DataCentre {
 		w.relay, d.relays.changed = "", true
 	}
+	if !w.sameOffer(&info) {
+		d.fleetChanged()
+	}
 	w.Worker, w.listed = info, true
 	d.updateRoom(w)
 	d.updateOpen(w)
@@ -287,6 +293,7 @@
 	d.logEvent(notice.WorkerGone, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
 		Attr{Key: "runs", Value: len(w.runs)}, Attr{Key: "epoch", Value: d.epoch})
 	w.dead = true
+	d.fleetChanged()
 	d.recordCrash(w, proof)
 	d.releaseRuns(now, w, proof)
 	d.registry.dirty = d.registry.dirty || w.mayRunSomething()
--- a/internal/state/model/resource.go
+++ b/internal/state/model/resource.go
@@ -37,6 +37,21 @@
 	return r.CPUMillis <= free.CPUMillis && r.MemoryBytes <= free.MemoryBytes && r.Accelerators <= free.Accelerators
 }
 
+// CountIn returns how many times r fits in free, but at most limit.
+func (r Resources) CountIn(free Resources, limit int64) int64 {
+	for _, f := range [][2]int64{
+		{r.CPUMillis, free.CPUMillis}, {r.MemoryBytes, free.MemoryBytes}, {r.Accelerators, free.Accelerators},
+	} {
+		switch part, whole := f[0], f[1]; {
+		case part > whole:
+			return 0
+		case part > 0:
+			limit = min(limit, whole/part)
+		}
+	}
+	return limit
+}
+
 // IsZero reports whether all fields are zero.
 func (r Resources) IsZero() bool {
 	return r == Resources{}
