Place steps in turn behind those that find no worker, and leave out those that no worker can run

Callers saw a job stay "active" for good, with a step ready and all workers idle, after 11 submissions that no worker can ever run.

Cause: a pass counted each step without a worker and ended at 40, always in the same order, late jobs last. 40 late steps that no worker takes ended each pass, and nothing behind them was looked at again.

Now - a step that needs what no listed worker offers (service, label, size, width of a gang) costs no search and no place in a pass. The answer is kept until the list of workers changes, so that it starts soon after a worker that can run it has come. A step that finds no worker for its own reasons (label, per-worker limit, permit, memory) no longer makes all best-effort work of its image count as unwanted, which kept jobs with other runs waiting; - the searches of a best-effort step in a large fleet continue where its last one ended. With as many steps as parts of the fleet, each examined the same part for ever; - gangs count for the bound, too. They were not bounded.

TestPassOverABacklogDoesNotGrowWithTheFleet made its backlog of steps larger than any worker, which cost no search now. They fit on an empty worker and beside nothing that runs instead, so that the check measures as much as before; it has more of them, since a pass makes up to twice as many searches.

--- a/internal/coordination/dispatch/bench_test.go
+++ b/internal/coordination/dispatch/bench_test.go
@@ -78,7 +78,7 @@
 		j.workValue, j.late = 1, false
 	}
 	p := d.newPass(sim.now)
-	p.placeJobs(false)
+	p.placeSteps(p.readySteps())
 	assert.Assert(t, p.unplacedSteps > 0, "no backlog")
 	assert.Assert(t, len(p.rejectedKinds) > 0 && len(p.rejectedKinds) <= bestEffortImages, "%d kinds rejected",
 		len(p.rejectedKinds))
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -105,12 +105,19 @@
 	fleetVersion uint64
 	// relocateCursor is the index in sortedWorkers of the worker that relocate searched last.
 	relocateCursor int
-	// candidateCursor is the index in sortedWorkers at which the candidates for the next best-effort step begin.
+	// candidateCursor is the index in sortedWorkers at which the candidates for the next new best-effort step begin.
 	candidateCursor int
 	// adviceInFlight is the number of unanswered advice requests.
 	adviceInFlight int
 	// passNeeded is set when a task became ready or capacity became free.
 	passNeeded bool
+	// passNumber counts the passes over all work. readySteps is kept for the next one to use its memory again.
+	passNumber uint64
+	// requestedPass is the number of the last pass that passNeeded has led to. passUnfinished is set while passes go on
+	// because steps were not looked at since.
+	requestedPass  uint64
+	passUnfinished bool
+	readySteps     []readyStep
 	// nextPass is the earliest time of the next placement pass over all work.
 	nextPass time.Time
 	// reserved are the workers that the last such pass kept free for urgent tasks.
@@ -179,10 +186,13 @@
 
 // Advance runs a placement pass, a commit and holds as far as they are due. It is called after each batch of events.
 func (d *Dispatcher) Advance(now time.Time) {
-	if d.passNeeded && !now.Before(d.nextPass) {
-		d.passNeeded = false
+	switch due := !now.Before(d.nextPass); {
+	case d.passNeeded && due:
+		d.passNeeded, d.requestedPass = false, d.passNumber+1
 		d.place(now)
-	} else if d.passNeeded {
+	case d.passUnfinished && due:
+		d.place(now)
+	case d.passNeeded:
 		d.placeShort(now)
 	}
 	d.commit(now)
--- a/internal/coordination/dispatch/gang.go
+++ b/internal/coordination/dispatch/gang.go
@@ -18,10 +18,14 @@
 		racks = append(p.usableRacks(route), "")
 	}
 	for _, rack := range racks {
+		p.searches++
 		if p.placeGangOn(s, route, rack, number) {
 			return
 		}
 	}
+	p.unplacedSteps++
+	p.fruitlessSearches += len(racks)
+	p.logLongWait(s.tasks[0], route)
 	p.requestAdvice(s.tasks[0], route)
 }
 
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -72,6 +72,11 @@
 	path pathStages
 	// dependents are the steps that wait for this one.
 	dependents []*step
+	// lastTurn is the number of the last pass that looked at the step, or at first of the one for which it was ready.
+	lastTurn uint64
+	// candidateCursor is the index in sortedWorkers, plus 1, at which the candidates for the next search of a best-effort
+	// step in a large fleet begin; 0 before the first.
+	candidateCursor int
 	// waitLogged is set once a long wait of one of the tasks was logged.
 	waitLogged bool
 	// load estimates the load of the tasks of a serving step.
@@ -261,19 +266,6 @@
 	return false
 }
 
-// readySteps returns the number of steps with tasks that could start.
-func (j *jobState) readySteps() int {
-	ready := 0
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.ready() {
-				ready++
-			}
-		}
-	}
-	return ready
-}
-
 // ready reports whether the step has tasks that could start.
 func (s *step) ready() bool { return s.waiting > 0 && s.pendingDependencies == 0 }
 
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -16,30 +16,28 @@
 	// passInterval is the minimum time to the next pass after one that left tasks unplaced. With a backlog, a pass
 	// examines many tasks, and every end of a run requests one.
 	passInterval = 40 * time.Millisecond
-	// maxUnplacedSteps is the number of unplaced steps at which a pass ends. The jobs that remain are less urgent.
-	maxUnplacedSteps = 40
 )
 
 // place runs a placement pass: it starts ready tasks in the order of their jobs.
 func (d *Dispatcher) place(now time.Time) {
 	d.load.passes++
+	d.passNumber++
 	d.updateOpportunityCosts(now)
 	p := d.newPass(now)
 	for _, j := range d.openJobs {
 		j.updateValue(now)
 	}
 	p.placeUrgent()
-	p.placeJobs(false)
-	p.placeJobs(true)
+	d.passUnfinished = p.placeSteps(p.readySteps())
 	d.reserved = p.reserved
 	d.load.unreachedSteps = max(d.load.unreachedSteps, p.unreachedSteps)
-	if p.unplacedSteps > 0 {
+	if p.unplacedSteps > 0 || p.hopelessSteps > 0 {
 		d.nextPass = now.Add(passInterval)
 	}
 }
 
 // placeShort starts short tasks that reserve CPU, without waiting for the next pass over all work: a backlog of
-// best-effort work must not delay them.
+// best-effort work must not delay them. Steps that it does not reach wait for that pass.
 func (d *Dispatcher) placeShort(now time.Time) {
 	p := d.newPass(now)
 	p.reserved = d.reserved
@@ -47,10 +45,14 @@
 		if j.waiting == 0 || !d.mayPlace(j) {
 			continue
 		}
+		route := d.routes[j.Queue]
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.waiting > 0 && s.pendingDependencies == 0 && !s.BestEffort && !s.Gang {
-					p.placeStep(s, d.routes[j.Queue])
+				if p.fruitlessSearches >= maxFruitlessSearches {
+					return
+				}
+				if s.ready() && !s.BestEffort && !s.Gang && d.unmetRequirement(s, route.Service) == fleetFits {
+					p.placeStep(s, route)
 				}
 			}
 		}
@@ -61,15 +63,16 @@
 type pass struct {
 	d   *Dispatcher
 	now time.Time
-	// tooLarge lists sizes for which no worker had room in this pass. Tasks of the same or a larger size are not tried
-	// again.
+	// tooLarge lists sizes for which no worker had room in this pass, or none with a label. Tasks of the same or a larger
+	// size are not tried again.
 	tooLarge unplacedSizes
-	// unplacedSteps counts the steps with a task for which no worker was found.
-	unplacedSteps int
-	// unreachedSteps counts the steps with ready tasks that the pass did not look at.
-	unreachedSteps int
-	// rejectedKinds holds the kinds of best-effort work that no worker accepted in this pass, with the highest value of
-	// such work. Further tasks of at most that value wait for the next pass.
+	// searches counts the searches for a worker, and fruitlessSearches those for steps of which a task found none.
+	searches, fruitlessSearches int
+	// unplacedSteps counts the steps with a task for which no worker was found, unreachedSteps those with ready tasks that
+	// the pass did not look at, and hopelessSteps those that the fleet can't run.
+	unplacedSteps, unreachedSteps, hopelessSteps int
+	// rejectedKinds holds the kinds of best-effort work that workers could have taken in this pass but none accepted, with
+	// the highest value of such work. Further tasks of at most that value wait for the next pass.
 	rejectedKinds map[bestEffortKind]float64
 	// reserved are workers kept free for urgent tasks.
 	reserved map[*worker]bool
@@ -84,10 +87,11 @@
 	image   string
 }
 
-// unplacedSize is a size of work for which no worker was found.
+// unplacedSize is a size of work for which no worker was found, or none with a label if that is not empty.
 type unplacedSize struct {
 	service    model.ServiceName
 	bestEffort bool
+	label      string
 	size       model.Resources
 }
 
@@ -97,7 +101,8 @@
 func (l unplacedSizes) contain(size unplacedSize) bool {
 	for i := range l {
 		f := &l[i]
-		if f.service == size.service && f.bestEffort == size.bestEffort && f.size.FitsIn(size.size) {
+		if f.service == size.service && f.bestEffort == size.bestEffort && (f.label == "" || f.label == size.label) &&
+			f.size.FitsIn(size.size) {
 			return true
 		}
 	}
@@ -139,40 +144,12 @@
 	p.d.startTask(p.now, t, w, p.d.nextRun())
 }
 
-// placeJobs places the tasks either of late jobs or of all others. place calls it for the others first: they can still
-// be completed in time, whereas a late job stays late wherever it runs.
-func (p *pass) placeJobs(late bool) {
-	for _, j := range p.d.openJobs {
-		if j.waiting == 0 || j.late != late || !p.d.mayPlace(j) {
-			continue
-		}
-		if p.unplacedSteps >= maxUnplacedSteps {
-			p.unreachedSteps += j.readySteps()
-			continue
-		}
-		p.placeJob(j)
-	}
-}
-
-func (p *pass) placeJob(j *jobState) {
-	route := p.d.routes[j.Queue]
-	for _, o := range j.occurrences {
-		if o.stepsLeft == 0 {
-			continue
-		}
-		for _, s := range o.steps {
-			if s.waiting > 0 && s.pendingDependencies == 0 {
-				p.placeStep(s, route)
-			}
-		}
-	}
-}
-
 func (p *pass) placeStep(s *step, route job.Route) {
 	if s.Gang {
 		p.placeGang(s, route)
 		return
 	}
+	before := p.searches
 	var r *ranking
 	for _, t := range s.tasks {
 		if !t.waiting || p.d.mayBeRunning(t) || t.awaitsCrashCommit() {
@@ -184,16 +161,22 @@
 			p.logLongWait(t, route)
 			// The other tasks of the step have the same requirements.
 			p.unplacedSteps++
+			p.fruitlessSearches += p.searches - before
 			return
 		}
 		p.start(t, w)
 	}
 }
 
+// sizeOf returns the size of a step's tasks for a comparison with sizes that found no worker.
+func sizeOf(s *step, route job.Route) unplacedSize {
+	return unplacedSize{service: route.Service, bestEffort: s.BestEffort, label: s.Label, size: reservedSize(s.Step)}
+}
+
 // knownTooLarge reports whether a task of this size, or a smaller one, of the same service already found no room in
 // this pass.
 func (p *pass) knownTooLarge(s *step, route job.Route) bool {
-	return p.tooLarge.contain(unplacedSize{route.Service, s.BestEffort, reservedSize(s.Step)})
+	return p.tooLarge.contain(sizeOf(s, route))
 }
 
 // acceptsStarts reports whether a worker of the route's service may get starts now.
@@ -213,10 +196,15 @@
 
 // meetsConstraints checks the label and the per-worker limit of a task's step, but not its size.
 func (p *pass) meetsConstraints(t *task, w *worker) bool {
+	return t.step.meetsLabel(w) && t.belowWorkerLimit(w)
+}
+
+// meetsLabel reports whether a worker has the label that the step asks for, if it does.
+func (s *step) meetsLabel(w *worker) bool { return s.Label == "" || w.HasLabel(s.Label) }
+
+// belowWorkerLimit reports whether the per-worker limit of a task's step admits a further one on a worker.
+func (t *task) belowWorkerLimit(w *worker) bool {
 	s := t.step
-	if s.Label != "" && !w.HasLabel(s.Label) {
-		return false
-	}
 	if s.MaxPerWorker == 0 {
 		return true
 	}
--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -31,19 +31,35 @@
 	return c.index < other.index
 }
 
-// candidate returns a worker as a candidate for a task. room is false if the worker has no room, and ok if the task may
-// not start there.
-func (p *pass) candidate(t *task, w *worker, index int, route job.Route) (c scoredWorker, room, ok bool) {
+// suitability says how far a worker is from taking a task. Higher values are closer.
+type suitability uint8
+
+const (
+	// noRoom means that the worker takes no starts or has no room.
+	noRoom suitability = iota
+	// wrongLabel means that the worker has room but not the label that the task asks for.
+	wrongLabel
+	// barred means that the worker has room and the label, but a limit of the step, a missing permit or memory that is
+	// kept free for other work bars the task.
+	barred
+	// suitable means that the task may start on the worker.
+	suitable
+)
+
+// candidate returns a worker as a candidate for a task, if it is suitable.
+func (p *pass) candidate(t *task, w *worker, index int, route job.Route) (c scoredWorker, s suitability) {
 	p.d.load.candidates++
-	if !p.acceptsStarts(w, route) || !reservedSize(t.step.Step).FitsIn(w.free()) || !t.step.BestEffort && p.reserved[w] {
-		return c, false, false
-	}
-	if t.step.BestEffort && !p.leavesMemory(t.step, w) || !p.meetsConstraints(t, w) || !p.hasPermit(t.step, w, route) {
-		return c, true, false
+	switch {
+	case !p.acceptsStarts(w, route) || !reservedSize(t.step.Step).FitsIn(w.free()) || !t.step.BestEffort && p.reserved[w]:
+		return c, noRoom
+	case !t.step.meetsLabel(w):
+		return c, wrongLabel
+	case t.step.BestEffort && !p.leavesMemory(t.step, w) || !t.belowWorkerLimit(w) || !p.hasPermit(t.step, w, route):
+		return c, barred
 	}
 	c = p.scoreWorker(t, w)
 	c.index = index
-	return c, true, true
+	return c, suitable
 }
 
 // canWait reports whether a best-effort task can wait until a worker accepts it.
@@ -55,22 +71,27 @@
 	return bestEffortKind{route.Service, t.step.Image}
 }
 
-// isHopeless reports whether this pass has already shown that no worker takes a task.
-func (p *pass) isHopeless(t *task, route job.Route) bool {
-	return p.knownTooLarge(t.step, route) || p.canWait(t) && t.owner.workValue <= p.rejectedKinds[p.kindOf(t, route)]
+// knownUnplaceable reports whether this pass has already shown that no worker takes a task.
+func (p *pass) knownUnplaceable(t *task, route job.Route) bool {
+	return p.knownTooLarge(t.step, route) ||
+		t.step.BestEffort && t.owner.workValue <= p.rejectedKinds[p.kindOf(t, route)] && p.canWait(t)
 }
 
-// recordFailure remembers that the best candidate for a task is none, or does not accept it.
-func (p *pass) recordFailure(t *task, route job.Route, best scoredWorker, anyRoom bool) {
-	if !anyRoom {
-		p.tooLarge = append(p.tooLarge, unplacedSize{route.Service, t.step.BestEffort, reservedSize(t.step.Step)})
-	}
-	if !best.accepted && t.step.BestEffort {
-		p.reject(t, route)
+// recordFailure remembers why no worker takes a task, where that holds for other tasks as well: the best worker has no room
+// or lacks the label. What bars only this task says nothing about others.
+func (p *pass) recordFailure(t *task, route job.Route, best suitability) {
+	size := sizeOf(t.step, route)
+	switch best {
+	case noRoom:
+		size.label = ""
+		p.tooLarge = append(p.tooLarge, size)
+	case wrongLabel:
+		p.tooLarge = append(p.tooLarge, size)
+	case barred, suitable:
 	}
 }
 
-// reject remembers that no worker accepts work of the kind and value of a task.
+// reject remembers that workers could take a best-effort task, but none accepts work of its kind and value.
 func (p *pass) reject(t *task, route job.Route) {
 	kind := p.kindOf(t, route)
 	p.rejectedKinds[kind] = max(p.rejectedKinds[kind], t.owner.workValue)
@@ -81,15 +102,19 @@
 const maxBestEffortCandidates = 384
 
 // candidates returns the workers that are examined for the tasks of a step, with their indexes in sortedWorkers. In a
-// large fleet, successive best-effort steps get successive parts of it, unless they need certain workers; other steps get
-// all workers that have room.
+// large fleet, each search for a best-effort step examines the part of it after the one that its last search examined,
+// unless the step needs certain workers; other steps get all workers that have room.
 func (d *Dispatcher) candidates(s *step) iter.Seq2[int, *worker] {
 	all := len(d.sortedWorkers)
 	if !s.BestEffort || s.DataRack != "" || s.Label != "" || all <= maxBestEffortCandidates {
 		return d.workersWithRoom(reservedSize(s.Step))
 	}
-	first := d.candidateCursor % all
-	d.candidateCursor = (first + maxBestEffortCandidates) % all
+	if s.candidateCursor == 0 {
+		s.candidateCursor = d.candidateCursor + 1
+		d.candidateCursor = (d.candidateCursor + maxBestEffortCandidates) % all
+	}
+	first := (s.candidateCursor - 1) % all
+	s.candidateCursor = (first+maxBestEffortCandidates)%all + 1
 	return func(yield func(int, *worker) bool) {
 		for n := range maxBestEffortCandidates {
 			i := (first + n) % all
@@ -102,20 +127,33 @@
 
 // chooseWorker returns the best worker for a task, or nil.
 func (p *pass) chooseWorker(t *task, route job.Route) *worker {
-	if p.isHopeless(t, route) {
+	if p.knownUnplaceable(t, route) {
 		return nil
 	}
+	p.searches++
 	var best scoredWorker
-	anyRoom := false
+	closest := noRoom
 	for i, w := range p.d.candidates(t.step) {
-		c, room, ok := p.candidate(t, w, i, route)
-		anyRoom = anyRoom || room
-		if ok && c.betterThan(best) {
+		c, s := p.candidate(t, w, i, route)
+		closest = max(closest, s)
+		if s == suitable && c.betterThan(best) {
 			best = c
 		}
 	}
-	p.recordFailure(t, route, best, anyRoom)
-	if !best.accepted && p.canWait(t) {
+	p.recordFailure(t, route, closest)
+	return p.acceptable(t, route, best)
+}
+
+// acceptable returns the best candidate for a task, or nil if there is none or the task should wait for a worker that
+// accepts it.
+func (p *pass) acceptable(t *task, route job.Route, best scoredWorker) *worker {
+	if best.worker == nil || best.accepted {
+		return best.worker
+	}
+	if t.step.BestEffort {
+		p.reject(t, route)
+	}
+	if p.canWait(t) {
 		return nil
 	}
 	return best.worker
@@ -161,7 +199,7 @@
 	if *r != nil {
 		(*r).update(p, t, route)
 	} else {
-		if p.isHopeless(t, route) {
+		if p.knownUnplaceable(t, route) {
 			return nil
 		}
 		*r = p.rank(t, route)
@@ -170,29 +208,22 @@
 	if len(**r) > 0 {
 		best = (**r)[0]
 	}
-	if !best.accepted && t.step.BestEffort {
-		p.reject(t, route)
-	}
-	if !best.accepted && p.canWait(t) {
-		return nil
-	}
-	return best.worker
+	return p.acceptable(t, route, best)
 }
 
 // rank scores the candidates for the tasks of a step.
 func (p *pass) rank(t *task, route job.Route) *ranking {
+	p.searches++
 	var r ranking
-	anyRoom := false
+	closest := noRoom
 	for i, w := range p.d.candidates(t.step) {
-		c, room, ok := p.candidate(t, w, i, route)
-		anyRoom = anyRoom || room
-		if ok {
+		c, s := p.candidate(t, w, i, route)
+		closest = max(closest, s)
+		if s == suitable {
 			r = append(r, c)
 		}
 	}
-	if !anyRoom {
-		p.tooLarge = append(p.tooLarge, unplacedSize{route.Service, t.step.BestEffort, reservedSize(t.step.Step)})
-	}
+	p.recordFailure(t, route, closest)
 	heap.Init(&r)
 	return &r
 }
@@ -203,7 +234,7 @@
 		return
 	}
 	best := (*r)[0]
-	if c, _, ok := p.candidate(t, best.worker, best.index, route); ok {
+	if c, s := p.candidate(t, best.worker, best.index, route); s == suitable {
 		(*r)[0] = c
 		heap.Fix(r, 0)
 		return
--- a/internal/coordination/dispatch/scale_test.go
+++ b/internal/coordination/dispatch/scale_test.go
@@ -28,10 +28,12 @@
 	work := func(workers int) int {
 		sim := fullFleet(t, workers)
 		// Each step has an image of its own and a smaller size than the one placed before, so that none tells about the next.
-		for i := range 2 * maxUnplacedSteps {
+		// It fits on an empty worker, but not beside the short task that each worker runs.
+		const besideNothing = 63<<30 + 1
+		for i := range 4 * maxFruitlessSearches {
 			j := plainJob(job.ID(fmt.Sprint("batch-", i)), 1)
 			j.Steps[0].BestEffort, j.Steps[0].Image = true, fmt.Sprint("image-", i)
-			j.Steps[0].Size.MemoryBytes = 128<<30 + int64(i)
+			j.Steps[0].Size.MemoryBytes = besideNothing + int64(i)
 			sim.accept(j)
 		}
 		return examined(sim.leader, func() { sim.leader.place(sim.now) })
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -42,6 +42,8 @@
 	refusing bool
 	draining bool
 	unlisted bool
+	// labels are those of the worker beside its kind and rack.
+	labels []string
 	// reportedPercent is the progress that the worker reports of every run.
 	reportedPercent int
 	// maxListedEnds is the number of ends that an inventory lists; 0 means all.
--- a/internal/coordination/dispatch/urgent.go
+++ b/internal/coordination/dispatch/urgent.go
@@ -31,10 +31,11 @@
 		if j.waiting == 0 || !j.LongRunning() || !p.d.mayPlace(j) {
 			continue
 		}
+		route := p.d.routes[j.Queue]
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.LongRunning && s.waiting > 0 && s.pendingDependencies == 0 {
-					unplaced = append(unplaced, p.placeUrgentTasks(s, p.d.routes[j.Queue])...)
+				if s.LongRunning && s.ready() && p.d.unmetRequirement(s, route.Service) == fleetFits {
+					unplaced = append(unplaced, p.placeUrgentTasks(s, route)...)
 				}
 			}
 		}
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -133,7 +133,7 @@
 		}
 		list = append(list, job.Worker{
 			ID: s.id, Address: s.address, Service: "s", Boot: s.boot, Draining: s.draining, Capacity: s.capacity,
-			Labels: []string{"kind", "rack-" + string(s.id[1])}, Rack: "rack-" + string(s.id[1]),
+			Labels: append([]string{"kind", "rack-" + string(s.id[1])}, s.labels...), Rack: "rack-" + string(s.id[1]),
 		})
 	}
 	for _, foreign := range sim.foreignEntries {
