Keep no memory free and no workers for steps that no worker can run

Cause: best-effort tasks leave the memory that other tasks need for the CPU that is free, by a moving average of memory per CPU over all new jobs. Steps that no worker can run raised it without limit, and leavesMemory then refused every worker. Steps that can run did so, too, if they need little CPU and most of a worker's memory. Unlike the wait for a worker that accepts it (bestEffortMaxWait), this had no end. Likewise, best-effort work that can't run counted as demand for workers on which its image does little harm.

Now neither counts steps that the fleet can't run, and a job that has waited for bestEffortMaxWait without a run may use the memory of workers that are at most half full.

--- a/internal/coordination/dispatch/fit.go
+++ b/internal/coordination/dispatch/fit.go
@@ -31,7 +31,7 @@
 // unmetRequirement returns what a step needs that the fleet does not offer. The answer is kept until the fleet changes.
 func (d *Dispatcher) unmetRequirement(s *step, service model.ServiceName) requirement {
 	if s.fitCheckedAt != d.fleetVersion {
-		s.fitCheckedAt, s.unmet = d.fleetVersion, d.checkFit(s, service)
+		s.fitCheckedAt, s.unmet = d.fleetVersion, d.checkFit(s.Step, service)
 	}
 	return s.unmet
 }
@@ -43,8 +43,8 @@
 	d.passNeeded = true
 }
 
-func (d *Dispatcher) checkFit(s *step, service model.ServiceName) requirement {
-	size, missing := reservedSize(s.Step), needsWorker
+func (d *Dispatcher) checkFit(s *job.Step, service model.ServiceName) requirement {
+	size, missing := reservedSize(s), needsWorker
 	var largest model.Resources
 	places, wanted := int64(0), int64(1)
 	if s.Gang {
@@ -62,7 +62,7 @@
 		}
 		missing = fleetFits
 		largest = capacity.Largest(largest, w.Capacity)
-		if places += placesFor(s.Step, size, w.Capacity); places >= wanted {
+		if places += placesFor(s, size, w.Capacity); places >= wanted {
 			return fleetFits
 		}
 	}
@@ -95,16 +95,3 @@
 	return w.listed && w.Service == info.Service && w.Capacity == info.Capacity && w.Draining == info.Draining &&
 		slices.Equal(w.Labels, info.Labels)
 }
-
-// hopelessSteps returns the number of steps with ready tasks that the fleet can't run.
-func (d *Dispatcher) hopelessSteps(j *jobState) int {
-	hopeless := 0
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.ready() && d.unmetRequirement(s, d.routes[j.Queue].Service) != fleetFits {
-				hopeless++
-			}
-		}
-	}
-	return hopeless
-}
--- a/internal/coordination/dispatch/hopeless_test.go
+++ b/internal/coordination/dispatch/hopeless_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
@@ -19,6 +20,7 @@
 }{
 	{"accelerators", func(s *job.Step) { s.Size.Accelerators = 1 }},
 	{"label", func(s *job.Step) { s.Label = "none" }},
+	{"memory", func(s *job.Step) { s.Size.MemoryBytes = 1 << 40 }},
 	{"cpu", func(s *job.Step) { s.Size.CPUMillis = 1 << 20 }},
 	{"accelerators, three tasks", func(s *job.Step) { s.Size.Accelerators, s.Tasks = 1, 3 }},
 	{"gang", func(s *job.Step) { s.Size.Accelerators, s.Gang, s.Tasks = 1, true, 2 }},
@@ -206,7 +208,7 @@
 // Guards against a log that gives no reason, or a wrong one, for work that waits for workers that the fleet doesn't have.
 func TestLogNamesWhatTheFleetLacks(t *testing.T) {
 	want := map[string]requirement{
-		"accelerators": needsAccelerators, "label": needsLabel, "cpu": needsCPU,
+		"accelerators": needsAccelerators, "label": needsLabel, "memory": needsMemory, "cpu": needsCPU,
 		"gang that is too wide": needsMoreWorkers, "best-effort, accelerators": needsAccelerators,
 		"long-running, label": needsLabel, "long-running gang": needsLabel,
 	}
@@ -296,3 +298,36 @@
 		assert.Equal(t, len(seen[n]), workers, "step %d", n)
 	}
 }
+
+// Guards against best-effort work that never starts on idle workers because their memory is kept free for other work: for
+// steps that no worker can run, or for steps that need most of a worker's memory and little of its CPU.
+func TestMemoryOfIdleWorkersIsNotKeptFreeForever(t *testing.T) {
+	for _, memory := range []int64{1 << 40, 60 << 30} {
+		sim := newSimulation(1, 8)
+		sim.advanceTime(time.Second)
+		for n := range 40 {
+			j := plainJob(job.ID(fmt.Sprintf("m%03d", n)), 1)
+			j.Steps[0].Size = model.Resources{CPUMillis: 100, MemoryBytes: memory}
+			sim.submit(j)
+		}
+		sim.advanceTime(5 * time.Second)
+		j := plainJob("b", 1)
+		j.Steps[0].BestEffort, j.Steps[0].Image, j.Steps[0].Size.MemoryBytes = true, "b", 40<<30
+		sim.submit(j)
+		sim.advanceTime(maxIdleWithRoom + 200*time.Millisecond)
+		assert.Assert(t, startedTasks(sim, "b", 0) > 0, "best-effort work does not start beside tasks of %d bytes", memory)
+	}
+}
+
+// Guards against placement that prefers some images on a worker for the sake of work that no worker can run.
+func TestHopelessWorkIsNoDemand(t *testing.T) {
+	sim := newSimulation(1, 2)
+	sim.advanceTime(time.Second)
+	for id, label := range map[job.ID]string{"hopeless": "none", "plain": ""} {
+		j := plainJob(id, 4)
+		j.Steps[0].BestEffort, j.Steps[0].Image, j.Steps[0].Label = true, "image-"+string(id), label
+		j.Queue = "q"
+		sim.leader.AddJob(sim.now, j, nil, 1)
+	}
+	assert.DeepEqual(t, sim.leader.bestEffortDemand(), imageShares{{"image-plain", 1}}, cmp.AllowUnexported(imageShare{}))
+}
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -163,13 +163,17 @@
 // memoryRatioWeight is the weight of a new job in the moving average of the tasks' ratio of memory to CPU.
 const memoryRatioWeight = 0.05
 
-// updateMemoryPerCPU updates the moving average of how much memory tasks need per CPU.
+// updateMemoryPerCPU updates the moving average of how much memory tasks need per CPU. Tasks that the fleet can't run need
+// none; a new leader does not know the fleet yet.
 func (d *Dispatcher) updateMemoryPerCPU(j *job.Job) {
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.BestEffort || s.LongRunning || s.Size.CPUMillis == 0 {
 			continue
 		}
+		if unmet := d.checkFit(s, d.routes[j.Queue].Service); unmet != fleetFits && unmet != needsWorker {
+			continue
+		}
 		ratio := float64(s.Size.MemoryBytes) / float64(s.Size.CPUMillis)
 		if d.memoryPerCPU == 0 {
 			d.memoryPerCPU = ratio
--- a/internal/coordination/dispatch/load.go
+++ b/internal/coordination/dispatch/load.go
@@ -63,8 +63,7 @@
 	d.load = loadCounters{sampledAt: now}
 	for _, j := range d.openJobs {
 		if j.waiting > 0 {
-			s.addWaiting(j)
-			s.HopelessSteps += d.hopelessSteps(j)
+			d.addWaiting(&s, j)
 		}
 	}
 	for _, w := range d.sortedWorkers {
@@ -82,11 +81,13 @@
 	d.emit(s)
 }
 
-func (s *LoadSample) addWaiting(j *jobState) {
+func (d *Dispatcher) addWaiting(s *LoadSample, j *jobState) {
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
 			switch {
-			case step.waiting == 0 || step.pendingDependencies > 0:
+			case !step.ready():
+			case d.unmetRequirement(step, d.routes[j.Queue].Service) != fleetFits:
+				s.HopelessSteps++
 			case step.LongRunning:
 				s.WaitingLongRunning += step.waiting
 			case step.BestEffort:
--- a/internal/coordination/dispatch/opportunity.go
+++ b/internal/coordination/dispatch/opportunity.go
@@ -82,14 +82,15 @@
 	return max(0, 1-slope/mean)
 }
 
-// bestEffortDemand returns each image's share of the unfinished best-effort tasks.
+// bestEffortDemand returns each image's share of the unfinished best-effort tasks that the fleet can run.
 func (d *Dispatcher) bestEffortDemand() imageShares {
 	var demand imageShares
 	total := 0.0
 	for _, j := range d.openJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.BestEffort && s.pendingDependencies == 0 && s.tasksLeft > 0 {
+				if s.BestEffort && s.pendingDependencies == 0 && s.tasksLeft > 0 &&
+					d.unmetRequirement(s, d.routes[j.Queue].Service) == fleetFits {
 					demand.add(s.Image, float64(s.tasksLeft))
 					total += float64(s.tasksLeft)
 				}
--- a/internal/coordination/dispatch/rate.go
+++ b/internal/coordination/dispatch/rate.go
@@ -57,6 +57,12 @@
 	return gain - e.loss - e.opportunityCost, gain >= minAcceptedGain*t.owner.workValue && e.loss <= maxAcceptedLoss
 }
 
+// mayUseMemory reports whether a best-effort task may take memory of a worker. One that has waited for long may take it on a
+// worker that is at most half full, whatever other tasks need.
+func (p *pass) mayUseMemory(t *task, w *worker) bool {
+	return p.leavesMemory(t.step, w) || w.used.Add(w.used).FitsIn(w.Capacity) && !p.canWait(t)
+}
+
 // leavesMemory reports whether a worker with a further best-effort task would still have the memory that other tasks
 // need in order to use its free CPU.
 func (p *pass) leavesMemory(s *step, w *worker) bool {
