Reserve no workers for urgent tasks that can't run there, and search once for those of a step

Found by reading; no caller has reported it. Up to a quarter of the workers were kept free for good for long-running gangs of which a part can run nowhere beside the other long-running tasks, and for tasks that the policy of their queue allows nowhere. A long-running step with more tasks than its per-worker limit admits made each pass search the fleet once for every task without a worker.

--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -76,8 +76,6 @@
 	rejectedKinds map[bestEffortKind]float64
 	// reserved are workers kept free for urgent tasks.
 	reserved map[*worker]bool
-	// reservedList holds those that this pass has reserved.
-	reservedList []*worker
 }
 
 // bestEffortKind holds what decides, beside its value, whether a worker accepts best-effort work. Sizes are left out
@@ -196,19 +194,20 @@
 
 // meetsConstraints checks the label and the per-worker limit of a task's step, but not its size.
 func (p *pass) meetsConstraints(t *task, w *worker) bool {
-	return t.step.meetsLabel(w) && t.belowWorkerLimit(w)
+	return t.step.meetsLabel(w) && t.belowWorkerLimit(w, 0)
 }
 
 // meetsLabel reports whether a worker has the label that the step asks for, if it does.
 func (s *step) meetsLabel(w *worker) bool { return s.Label == "" || w.HasLabel(s.Label) }
 
-// belowWorkerLimit reports whether the per-worker limit of a task's step admits a further one on a worker.
-func (t *task) belowWorkerLimit(w *worker) bool {
+// belowWorkerLimit reports whether the per-worker limit of a task's step admits a further one on a worker, beside a number
+// of planned ones.
+func (t *task) belowWorkerLimit(w *worker, planned int) bool {
 	s := t.step
 	if s.MaxPerWorker == 0 {
 		return true
 	}
-	here := 0
+	here := planned
 	for _, r := range w.orderedRuns {
 		if r.Task.Job == t.Job && r.Task.Occurrence == t.Occurrence && r.Task.Step == t.Step {
 			here++
--- a/internal/coordination/dispatch/urgent.go
+++ b/internal/coordination/dispatch/urgent.go
@@ -1,22 +1,13 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
-	"github.com/jujubearch/jujubearch/internal/state/model"
 )
 
-const (
-	// longRunningMaxWait is how long a new long-running task waits behind short jobs.
-	longRunningMaxWait = 3 * time.Second
-	// minReservedWorkers and maxReservedShare limit the workers that are kept free at a time, as a number in small
-	// fleets and as a share of the workers in large ones.
-	minReservedWorkers = 2
-	maxReservedShare   = 0.25
-)
+// longRunningMaxWait is how long a new long-running task waits behind short jobs.
+const longRunningMaxWait = 3 * time.Second
 
 // isUrgent reports whether a long-running task goes before all other work: its users have lost it, because its run
 // ended or because an earlier leader may have started it, or it has waited for long enough.
@@ -26,7 +17,7 @@
 
 // placeUrgent places urgent long-running tasks before all others, and reserves workers for those that find no room.
 func (p *pass) placeUrgent() {
-	var unplaced []*task
+	var unplaced [][]*task
 	for _, j := range p.d.openJobs {
 		if j.waiting == 0 || !j.LongRunning() || !p.d.mayPlace(j) {
 			continue
@@ -35,7 +26,9 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.LongRunning && s.ready() && p.d.unmetRequirement(s, route.Service) == fleetFits {
-					unplaced = append(unplaced, p.placeUrgentTasks(s, route)...)
+					if tasks := p.placeUrgentTasks(s, route); len(tasks) > 0 {
+						unplaced = append(unplaced, tasks)
+					}
 				}
 			}
 		}
@@ -59,7 +52,12 @@
 			}
 			return s.tasks
 		}
-		if w := p.chooseWorker(t, route); w != nil {
+		var w *worker
+		// The other tasks of the step have the same requirements.
+		if len(unplaced) == 0 {
+			w = p.chooseWorker(t, route)
+		}
+		if w != nil {
 			p.start(t, w)
 		} else {
 			unplaced = append(unplaced, t)
@@ -67,62 +65,3 @@
 	}
 	return unplaced
 }
-
-// reserveWorkers keeps workers free for urgent tasks without room: in this pass they take no other tasks than
-// best-effort ones. It reserves as many as the tasks need once the short tasks there have ended.
-func (p *pass) reserveWorkers(tasks []*task) {
-	limit := max(minReservedWorkers, int(maxReservedShare*float64(len(p.d.sortedWorkers))))
-	room := make(map[*worker]model.Resources)
-	byFreeCPU := slices.Clone(p.d.sortedWorkers)
-	slices.SortStableFunc(byFreeCPU, func(a, b *worker) int { return cmp.Compare(b.free().CPUMillis, a.free().CPUMillis) })
-	// unreservable are sizes for which there is no worker to reserve, whatever else a task needs.
-	var unreservable unplacedSizes
-	for _, t := range tasks {
-		route, size := p.d.routes[t.owner.Queue], reservedSize(t.step.Step)
-		w := p.reservedWorkerFor(t, room)
-		if w == nil && len(p.reserved) < limit && !unreservable.contain(unplacedSize{service: route.Service, size: size}) {
-			w = p.workerToReserve(t, route, byFreeCPU)
-			switch {
-			case w != nil:
-				p.reserve(w)
-				room[w] = w.roomForLongRunning()
-			case t.step.Label == "" && t.step.MaxPerWorker == 0:
-				unreservable = append(unreservable, unplacedSize{service: route.Service, size: size})
-			}
-		}
-		if w != nil {
-			room[w] = room[w].Sub(size)
-		}
-	}
-}
-
-// reservedWorkerFor returns a reserved worker that will have room for a task beside those that it is reserved for.
-func (p *pass) reservedWorkerFor(t *task, room map[*worker]model.Resources) *worker {
-	for _, w := range p.reservedList {
-		if reservedSize(t.step.Step).FitsIn(room[w]) && p.meetsConstraints(t, w) {
-			return w
-		}
-	}
-	return nil
-}
-
-// reserve keeps a worker free for urgent tasks.
-func (p *pass) reserve(w *worker) {
-	p.reserved[w] = true
-	p.reservedList = append(p.reservedList, w)
-}
-
-// workerToReserve returns the first of the given workers that a task fits on beside the long-running tasks there, or
-// nil.
-func (p *pass) workerToReserve(t *task, route job.Route, workers []*worker) *worker {
-	for _, w := range workers {
-		if !p.reserved[w] && p.acceptsStarts(w, route) && p.meetsConstraints(t, w) &&
-			reservedSize(t.step.Step).FitsIn(w.roomForLongRunning()) {
-			return w
-		}
-	}
-	return nil
-}
-
-// roomForLongRunning returns the capacity of a worker that its long-running tasks leave.
-func (w *worker) roomForLongRunning() model.Resources { return w.Capacity.Sub(w.usedLongRunning) }
