Ask the advice service about steps in turn

Found by reading and shown with a test; no caller has reported it. Four requests for advice may be in flight, and steps got them in the order of their jobs. A step that the policy allows nowhere is asked about again until no worker is left, four times on 120 workers.

Steps with the fewest answers that granted nothing come first now, also those that the pass did not reach.

--- a/internal/coordination/dispatch/backlog.go
+++ b/internal/coordination/dispatch/backlog.go
@@ -69,8 +69,14 @@
 	behind := ready[p.placeUntil(ready, maxFruitlessSearches):]
 	slices.SortStableFunc(behind, func(a, b readyStep) int { return cmp.Compare(a.lastTurn, b.lastTurn) })
 	reached := p.placeUntil(behind, p.fruitlessSearches+maxFruitlessSearches)
-	p.unreachedSteps = len(behind) - reached
-	return p.unreachedSteps > 0 && behind[reached].lastTurn < p.d.requestedPass
+	unreached := behind[reached:]
+	p.unreachedSteps = len(unreached)
+	for _, s := range unreached {
+		if len(s.permits.granted) == 0 {
+			p.wantAdvice(s.step, s.route)
+		}
+	}
+	return len(unreached) > 0 && unreached[0].lastTurn < p.d.requestedPass
 }
 
 // placeUntil places the tasks of steps until the pass has made a number of fruitless searches, and returns how many steps
--- a/internal/coordination/dispatch/gang.go
+++ b/internal/coordination/dispatch/gang.go
@@ -26,7 +26,7 @@
 	p.unplacedSteps++
 	p.fruitlessSearches += len(racks)
 	p.logLongWait(s.tasks[0], route)
-	p.requestAdvice(s.tasks[0], route)
+	p.wantAdvice(s, route)
 }
 
 func (p *pass) usableRacks(route job.Route) []string {
--- a/internal/coordination/dispatch/permit.go
+++ b/internal/coordination/dispatch/permit.go
@@ -16,6 +16,8 @@
 	// maxAdviceInFlight limits the requests in flight, because the service answers the requests of one machine one
 	// after the other.
 	maxAdviceInFlight = 4
+	// maxAdviceTries limits the steps of a pass for which workers to ask about are looked for, because there may be none.
+	maxAdviceTries = 2 * maxAdviceInFlight
 	// adviceRetryInterval is the pause after a request that got no answer.
 	adviceRetryInterval = 300 * time.Millisecond
 	// minPermitValidity is the remaining validity that a permit must have to be used, because a start takes time to
@@ -30,6 +32,10 @@
 	denied          map[workerBoot]bool
 	requestInFlight bool
 	retryAt         time.Time
+	// emptyAnswers counts the answers that granted no permit. lastTry is the number of the last pass that looked for workers
+	// to ask about.
+	emptyAnswers int
+	lastTry      uint64
 }
 
 // permitGrant is a permit for one boot of a worker.
@@ -57,14 +63,41 @@
 	return g.permit, true
 }
 
-// requestAdvice asks the advice service about the workers with the best scores for a task, if the route requires
-// advice.
+// wantAdvice notes that the advice service could be asked about a step, if the route requires advice.
+func (p *pass) wantAdvice(s *step, route job.Route) {
+	if route.Advice != nil && !s.permits.requestInFlight && !p.now.Before(s.permits.retryAt) {
+		p.adviceWanted = append(p.adviceWanted, s)
+	}
+}
+
+// sendAdviceRequests asks the advice service about the noted steps, as far as the limit of requests in flight admits. Steps
+// with the fewest answers that granted nothing come first: the policy may allow a step nowhere, and a request about it
+// delays those about others. Of equal ones, those come first that were tried the longest time ago.
+func (p *pass) sendAdviceRequests() {
+	slices.SortStableFunc(p.adviceWanted, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.permits.emptyAnswers, b.permits.emptyAnswers),
+			cmp.Compare(a.permits.lastTry, b.permits.lastTry))
+	})
+	for _, s := range p.adviceWanted[:min(len(p.adviceWanted), maxAdviceTries)] {
+		if p.d.adviceInFlight >= maxAdviceInFlight {
+			return
+		}
+		s.permits.lastTry = p.d.passNumber
+		t := s.firstWaiting()
+		p.requestAdvice(t, p.d.routes[t.owner.Queue])
+	}
+}
+
+// sendFirstAdviceRequests does the same for those steps only of which no answer has granted nothing. The others wait for
+// their turn in a pass over all work.
+func (p *pass) sendFirstAdviceRequests() {
+	p.adviceWanted = slices.DeleteFunc(p.adviceWanted, func(s *step) bool { return s.permits.emptyAnswers > 0 })
+	p.sendAdviceRequests()
+}
+
+// requestAdvice asks the advice service about the workers with the best scores for a task.
 func (p *pass) requestAdvice(t *task, route job.Route) {
 	s := t.step
-	if route.Advice == nil || s.permits.requestInFlight || p.now.Before(s.permits.retryAt) ||
-		p.d.adviceInFlight >= maxAdviceInFlight {
-		return
-	}
 	var candidates []scoredWorker
 	for _, w := range p.d.sortedWorkers {
 		if s.permits.denied[w.workerBoot()] || !p.acceptsStarts(w, route) || !p.meetsConstraints(t, w) ||
@@ -110,6 +143,9 @@
 	if s.permits.granted == nil {
 		s.permits.granted, s.permits.denied = make(map[model.WorkerID]permitGrant), make(map[workerBoot]bool)
 	}
+	if len(granted) == 0 {
+		s.permits.emptyAnswers++
+	}
 	for i, id := range request.Workers {
 		if permit, ok := granted[id]; ok {
 			s.permits.granted[id] = permitGrant{
--- a/internal/coordination/dispatch/permit_test.go
+++ b/internal/coordination/dispatch/permit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -85,3 +87,33 @@
 	assert.Equal(t, sim.phase(testID), job.Completed)
 	assert.Equal(t, len(sim.adviceRequests), 2)
 }
+
+// Guards against steps that wait for advice for long because others, which the policy allows nowhere, are asked about again
+// and again before them.
+func TestAdviceIsAskedForInTurn(t *testing.T) {
+	sim := newSimulation(1, 120)
+	sim.routes[0].Advice = &job.Advice{
+		BaseServiceTime: 50 * time.Millisecond, ServiceTimePerWorker: time.Millisecond, PermitLifetime: 5 * time.Second,
+	}
+	sim.leader.SetRoutes(sim.routes)
+	sim.advise = func(q RequestAdvice) (map[model.WorkerID]job.Permit, error) {
+		granted := make(map[model.WorkerID]job.Permit)
+		if q.Step.Job == testID {
+			granted[q.Workers[0]] = "permit"
+		}
+		return granted, nil
+	}
+	sim.advanceTime(time.Second)
+	// Each of these takes four answers until no worker is left to ask about.
+	const hopeless = 100
+	for n := range hopeless {
+		sim.accept(plainJob(job.ID(fmt.Sprintf("h%03d", n)), 1))
+	}
+	sim.advanceTime(time.Second)
+	before := len(sim.adviceRequests)
+	sim.submit(plainJob(testID, 1))
+	sim.advanceTime(2 * time.Second)
+	asked := slices.IndexFunc(sim.adviceRequests[before:], func(q RequestAdvice) bool { return q.Step.Job == testID })
+	assert.Assert(t, asked >= 0 && before+asked <= hopeless, "asked about after %d requests, then %d", before, asked)
+	assert.Equal(t, sim.phase(testID), job.Completed)
+}
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -29,6 +29,7 @@
 	}
 	p.placeUrgent()
 	d.passUnfinished = p.placeSteps(p.readySteps())
+	p.sendAdviceRequests()
 	d.reserved = p.reserved
 	d.load.unreachedSteps = max(d.load.unreachedSteps, p.unreachedSteps)
 	if p.unplacedSteps > 0 || p.hopelessSteps > 0 {
@@ -40,6 +41,7 @@
 // best-effort work must not delay them. Steps that it does not reach wait for that pass.
 func (d *Dispatcher) placeShort(now time.Time) {
 	p := d.newPass(now)
+	defer p.sendFirstAdviceRequests()
 	p.reserved = d.reserved
 	for _, j := range d.shortJobs {
 		if j.waiting == 0 || !d.mayPlace(j) {
@@ -71,6 +73,8 @@
 	// unplacedSteps counts the steps with a task for which no worker was found, unreachedSteps those with ready tasks that
 	// the pass did not look at, and hopelessSteps those that the fleet can't run.
 	unplacedSteps, unreachedSteps, hopelessSteps int
+	// adviceWanted are the steps about which the advice service could be asked.
+	adviceWanted []*step
 	// rejectedKinds holds the kinds of best-effort work that workers could have taken in this pass but none accepted, with
 	// the highest value of such work. Further tasks of at most that value wait for the next pass.
 	rejectedKinds map[bestEffortKind]float64
@@ -155,7 +159,7 @@
 		}
 		w := p.nextWorker(&r, t, route)
 		if w == nil {
-			p.requestAdvice(t, route)
+			p.wantAdvice(s, route)
 			p.logLongWait(t, route)
 			// The other tasks of the step have the same requirements.
 			p.unplacedSteps++
