Let tasks that fit on no worker take no trial starts of their kind

Found by reading and shown with a test; no caller has reported it. At most eight batch tasks of a kind start before the first reports of it, for up to 15 s. Tasks that are larger than every worker took these eight first if their job came first, so that others of the kind waited 15 s.

They no longer count for the limit. TestUnrunnableTasksTakeNoTrialStarts failed before: the tasks that can run got none.

--- a/internal/coordination/controller/round.go
+++ b/internal/coordination/controller/round.go
@@ -62,8 +62,8 @@
 			r.addPlaced(&job.FirstDelegation.Job, t)
 		}
 	}
-	r.limitUnknownKinds(c.now, sched)
 	r.addWorkers(c, s, sched)
+	r.limitUnknownKinds(c.now, sched)
 	r.estimateRemaining()
 	return r
 }
@@ -77,7 +77,7 @@
 }
 
 // limitUnknownKinds limits how many batch tasks of a kind start before workers have reported how much such tasks use.
-// Urgent tasks are not limited.
+// Urgent tasks are not limited. Tasks that fit on no worker don't start and leave the limit to others of the kind.
 func (r *round) limitUnknownKinds(now time.Time, sched *schedulingState) {
 	running := make(map[string]int)
 	for _, tasks := range r.placed {
@@ -86,7 +86,7 @@
 		}
 	}
 	for _, g := range r.groups {
-		if g.Job.Class != model.ClassBatch || g.Job.Urgent {
+		if g.Job.Class != model.ClassBatch || g.Job.Urgent || !r.fitsAnyWorker(g.Need) {
 			continue
 		}
 		count := min(len(g.Tasks), sched.estimates.StartLimit(now, g.Job.Kind, running[g.Job.Kind]))
@@ -96,6 +96,11 @@
 	r.groups = slices.DeleteFunc(r.groups, func(g *placement.Group) bool { return len(g.Tasks) == 0 })
 }
 
+// fitsAnyWorker reports whether a task fits on one of the workers if nothing else runs there.
+func (r *round) fitsAnyWorker(need model.Resources) bool {
+	return slices.ContainsFunc(r.workers, func(w placement.Worker) bool { return need.FitsIn(w.Capacity) })
+}
+
 func (sched *schedulingState) newGroup(job *model.Job) *placement.Group {
 	return &placement.Group{
 		Job: job, Need: sched.estimates.Size(job.Kind, job.Declared).Reserve,
