Log serving tasks that stay above their targets beside best-effort work

7215 target-missed has the last 12 reports of the task with their ages and the paced best-effort share, what is counted, and the best-effort tasks beside it with placement, phase, pace and value. Decisions are unchanged. In the emulator of the package, the period of the load is a field now.

--- a/internal/coordination/dispatch/emulator_test.go
+++ b/internal/coordination/dispatch/emulator_test.go
@@ -24,6 +24,8 @@
 	slowdown map[[2]string]float64
 	// remainingWork is what is left of best-effort tasks, which save their progress.
 	remainingWork map[job.Task]time.Duration
+	// loadPeriod is the period with which the loads of serving jobs oscillate.
+	loadPeriod time.Duration
 	// ignorePaces lets all tasks run at full pace, as a baseline.
 	ignorePaces bool
 	// aboveTarget is the time that serving tasks were above their targets, served their time in total.
@@ -39,7 +41,6 @@
 	// idleTail is the tail latency of a serving task without load, in milliseconds.
 	idleTail          = 4
 	tailLatencyTarget = 6 * idleTail * time.Millisecond
-	loadPeriod        = 10 * time.Second
 	// lightSlowdown and heavySlowdown are the slowdowns of pairs that share few and many resources; heavyShare is the
 	// fraction of the latter.
 	lightSlowdown = 0.3
@@ -51,6 +52,7 @@
 	e := &emulator{
 		sim: newSimulation(seed, 0), random: rand.New(rand.NewPCG(seed, 2)),
 		slowdown: make(map[[2]string]float64), remainingWork: make(map[job.Task]time.Duration),
+		loadPeriod: 10 * time.Second,
 	}
 	for serving := range servingImages {
 		for bestEffort := range bestEffortImages {
@@ -88,7 +90,7 @@
 	for _, c := range id {
 		phase += float64(c)
 	}
-	angle := 2*math.Pi*float64(e.sim.now.UnixMilli())/float64(loadPeriod.Milliseconds()) + phase
+	angle := 2*math.Pi*float64(e.sim.now.UnixMilli())/float64(e.loadPeriod.Milliseconds()) + phase
 	return 0.48 * (1 + 0.5*math.Sin(angle))
 }
 
@@ -192,6 +194,11 @@
 func emulatePolicy(seed uint64, ignorePaces, dedicated bool) policyOutcome {
 	e := newEmulator(seed)
 	e.ignorePaces = ignorePaces
+	return e.runPolicy(dedicated)
+}
+
+// runPolicy runs serving and best-effort jobs on the workers of an emulator.
+func (e *emulator) runPolicy(dedicated bool) policyOutcome {
 	sim := e.sim
 	sim.routes[0].Slack = 2
 	sim.leader.SetRoutes(sim.routes)
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -72,6 +72,9 @@
 	// aboveTargetSince is when a serving task began to report a tail latency above its target; zero while it is
 	// within it.
 	aboveTargetSince time.Time
+	// reports are the newest reports of a serving task; missLoggedAt is when a missed target was logged last.
+	reports      []targetReport
+	missLoggedAt time.Time
 	// pace is the pace last sent to the worker; haltedAt is when it became 0.
 	pace     int
 	haltedAt time.Time
--- a/internal/coordination/dispatch/pace.go
+++ b/internal/coordination/dispatch/pace.go
@@ -23,20 +23,6 @@
 	haltAfter = 2200 * time.Millisecond
 )
 
-// trackTargets records for each serving task since when it has been above its latency target.
-func (d *Dispatcher) trackTargets(now time.Time, w *worker) {
-	for _, r := range w.orderedRuns {
-		if !r.serving() {
-			continue
-		}
-		if headroom, ok := r.reportedHeadroom(); !ok || headroom > 1 {
-			r.aboveTargetSince = time.Time{}
-		} else if r.aboveTargetSince.IsZero() {
-			r.aboveTargetSince = now
-		}
-	}
-}
-
 // paceCandidate is a best-effort task whose pace is being decided.
 type paceCandidate struct {
 	run *run
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -88,6 +88,7 @@
 	RunReleased         Code = 7212
 	RunRepeated         Code = 7213
 	RunRetried          Code = 7214
+	TargetMissed        Code = 7215
 	WorkerFirstResponse Code = 7301
 	WorkerDraining      Code = 7302
 	WorkerRestarted     Code = 7303
@@ -184,6 +185,7 @@
 	RunRepeated:         {"run-repeated", Warn, "a task was placed again after a run whose end its worker did not report"},
 	RunRetried:          {"run-retried", Info, "a task was placed again after a run whose end its worker reported"},
 	PaceChanged:         {"pace-changed", Info, "the permitted speed of a best-effort task was changed"},
+	TargetMissed:        {"target-missed", Info, "a serving task is above its latency target beside best-effort tasks"},
 	WorkerFirstResponse: {"worker-held", Info, "a worker responded to the leader for the first time in this epoch"},
 	WorkerDraining:      {"worker-draining", Info, "a worker is draining and gets no new tasks"},
 	WorkerRestarted:     {"worker-reborn", Warn, "a worker restarted; its tasks are rescheduled"},
@@ -212,6 +214,7 @@
 var bulkEvents = map[Code]bool{
 	JobAccepted: true, JobRefused: true, JobEnded: true, CancelAnswered: true, QueueUnknown: true, JobOverdue: true,
 	RunPlaced: true, RunEnded: true, PaceChanged: true, RunRetried: true, AdviceGiven: true, TaskWaits: true,
+	TargetMissed: true,
 }
 
 // IsBulk reports whether an event is one of those whose volume grows with the load.
