--- a/internal/transport/jobs/load.go
+++ b/internal/transport/jobs/load.go
@@ -30,11 +30,12 @@
 }
 
 func (e *Executor) logLoad(s dispatch.LoadSample) {
-	control := e.Metrics.control.take()
+	control, usage := e.Metrics.control.take(), e.Metrics.control.takeUsage()
 	event.Log(e.Logger, notice.LeaderLoad,
 		notice.Attr{Key: "busy", Value: control.busy.Seconds() / s.Since.Seconds()},
 		notice.Attr{Key: "longest_step", Value: control.longestStep},
 		notice.Attr{Key: "oldest_event", Value: control.oldestEvent},
+		notice.Attr{Key: "process_cpu", Value: usage.cpu}, notice.Attr{Key: "collections", Value: usage.collections},
 		notice.Attr{Key: "inventories", Value: s.Inventories}, notice.Attr{Key: "starts", Value: s.Starts},
 		notice.Attr{Key: "candidates", Value: s.Candidates}, notice.Attr{Key: "passes", Value: s.Passes},
 		notice.Attr{Key: "unreached_steps", Value: s.UnreachedSteps},
@@ -63,6 +64,8 @@
 type controlLoad struct {
 	mu sync.Mutex
 	controlSample
+	// usage is the reading at the last call of takeUsage.
+	usage processUsage
 }
 
 type controlSample struct{ busy, longestStep, oldestEvent time.Duration }
@@ -76,6 +79,16 @@
 	return sample
 }
 
+// takeUsage returns what the process has used since the last call.
+func (c *controlLoad) takeUsage() processUsage {
+	usage := readProcessUsage()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := usage.since(c.usage)
+	c.usage = usage
+	return since
+}
+
 // observeStep records that the control thread has processed the queued events.
 func (m *Metrics) observeStep(queued, took time.Duration) {
 	m.queuedSeconds.Update(queued.Seconds())
