Count time above a target from the last report within it, and halt best-effort work without a further report

Users saw urgent work miss its target for longer than 4 s because of best-effort work beside it.

After a time within the target, a report shows the task at 0.06 to 0.2 of its headroom at once, with up to nine best-effort tasks that were placed 0.3 to 1.0 s before: the hold in flight had no mixed work when it was sent and waited for a second. The count was 0 then, though the miss had lasted up to 1.0 s. With 2.2 s from there and up to 0.4 s until the next report, 3.2 to 3.6 s pass in the leader alone, without a lost message.

Now the count begins with the last report within the target (1.5 s ago at most), a single report that is not clearly within it leaves it in doubt instead of ending it, and ticks halt the best-effort tasks after 2.5 s, without waiting for a report; they also repeat paces that failed. So what passes is bounded by the limit and a tick, however late reports are.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -179,6 +179,7 @@
 	d.checkWorkers(now)
 	d.requestSettling(now)
 	d.evacuate(now)
+	d.haltOverdue(now)
 	d.relocate(now)
 	d.sampleLoad(now)
 	d.Advance(now)
--- a/internal/coordination/dispatch/estimate.go
+++ b/internal/coordination/dispatch/estimate.go
@@ -80,7 +80,7 @@
 			slopes: d.interference.fits[r.task.step.Image],
 			margin: r.marginAt(r.task.step.load.sustained(now)),
 		}
-		forecast.halting = forecast.halting || !r.aboveTargetSince.IsZero() && now.Sub(r.aboveTargetSince) > haltAfter
+		forecast.halting = forecast.halting || r.above.overdue(now)
 		for _, s := range bestEffort {
 			n.margin -= n.slopes.pair(s.image).cautious() * s.share
 		}
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -69,9 +69,8 @@
 	// headroomOffset is how far the headroom of a serving task differs from the one predicted from its load and the
 	// best-effort tasks beside it.
 	headroomOffset float64
-	// aboveTargetSince is when a serving task began to report a tail latency above its target; zero while it is
-	// within it.
-	aboveTargetSince time.Time
+	// above follows for how long a serving task has been above its target.
+	above aboveTarget
 	// reports are the newest reports of a serving task; missLoggedAt is when a missed target was logged last.
 	reports      []targetReport
 	missLoggedAt time.Time
--- a/internal/coordination/dispatch/pace.go
+++ b/internal/coordination/dispatch/pace.go
@@ -18,9 +18,6 @@
 	// paceStep is the increment of paces and the lowest one above 0, in percent. A slower task would hold its memory
 	// for little work.
 	paceStep = 20
-	// haltAfter is how long a serving task may be above its target before all best-effort tasks beside it are halted,
-	// whatever the slopes of the pairs are.
-	haltAfter = 2200 * time.Millisecond
 )
 
 // paceCandidate is a best-effort task whose pace is being decided.
@@ -60,11 +57,9 @@
 			continue
 		}
 		n := neighbour{
-			slopes: d.interference.fits[r.task.step.Image],
-			margin: r.marginAt(r.task.step.load.predict(now, paceHorizon)),
-		}
-		if !r.aboveTargetSince.IsZero() && now.Sub(r.aboveTargetSince) > haltAfter {
-			n.protected = true
+			slopes:    d.interference.fits[r.task.step.Image],
+			margin:    r.marginAt(r.task.step.load.predict(now, paceHorizon)),
+			protected: r.above.overdue(now),
 		}
 		// If a task is expected above its target even without best-effort tasks, their effect may have been
 		// underestimated. Its margin counts as 0, so that a further loss still has a cost.
--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -9,6 +9,12 @@
 )
 
 const (
+	// haltAfter is how long a serving task may have been above its target before all best-effort tasks beside it are halted,
+	// whatever the slopes of the pairs are.
+	haltAfter = 2500 * time.Millisecond
+	// clearHeadroom is the headroom from which a single report shows that a task is within its target. Below, it takes two
+	// in a row: reports of a task slightly above its target are often within it.
+	clearHeadroom = 1.2
 	// keptReports is the number of a serving task's reports that are kept for the log.
 	keptReports = 12
 	// minLoggedMiss is how long a serving task has been above its target, beside best-effort tasks at work, when that is
@@ -27,7 +33,7 @@
 	beside float64
 }
 
-// trackTargets records for each serving task since when it has been above its latency target.
+// trackTargets records for each serving task since when it may have been above its latency target.
 func (d *Dispatcher) trackTargets(now time.Time, w *worker) {
 	beside := -1.0
 	for _, r := range w.orderedRuns {
@@ -35,17 +41,62 @@
 			continue
 		}
 		headroom, ok := r.reportedHeadroom()
-		if !ok || headroom > 1 {
-			r.aboveTargetSince = time.Time{}
-		} else if r.aboveTargetSince.IsZero() {
-			r.aboveTargetSince = now
+		if !ok {
+			continue
+		}
+		r.above.observe(now, headroom)
+		if beside < 0 {
+			beside = w.pacedShare()
 		}
-		if ok {
-			if beside < 0 {
-				beside = w.pacedShare()
+		r.keepReport(targetReport{now, headroom, beside})
+		d.logMissedTarget(now, r)
+	}
+}
+
+// aboveTarget follows for how long a serving task may have been above its latency target. A report describes the past half
+// second, is rough, and comes late, so the count begins with the last report that showed the task within its target, and
+// ends only once reports show that clearly.
+type aboveTarget struct {
+	// since is when the count began; zero while the task is within its target.
+	since time.Time
+	// withinAt is when the last report arrived that showed it within its target.
+	withinAt time.Time
+	// inDoubt is set while the count goes on though the newest report was within the target.
+	inDoubt bool
+}
+
+// observe takes a report into account.
+func (a *aboveTarget) observe(now time.Time, headroom float64) {
+	switch counting := !a.since.IsZero(); {
+	case headroom <= 1 && counting:
+		a.inDoubt = false
+	case headroom <= 1:
+		a.since = a.withinAt
+		// Nothing is known of a longer time without reports.
+		if earliest := now.Add(-maxReportGap); a.since.Before(earliest) {
+			a.since = earliest
+		}
+	case counting && headroom < clearHeadroom && !a.inDoubt:
+		a.inDoubt = true
+	default:
+		a.since, a.withinAt, a.inDoubt = time.Time{}, now, false
+	}
+}
+
+// overdue reports whether best-effort tasks must not keep the task above its target any longer.
+func (a *aboveTarget) overdue(now time.Time) bool {
+	return !a.since.IsZero() && !a.inDoubt && now.Sub(a.since) > haltAfter
+}
+
+// haltOverdue halts the best-effort tasks beside serving tasks that have been above their targets for long. It does not wait
+// for a further report, which may come too late, and repeats orders that have failed.
+func (d *Dispatcher) haltOverdue(now time.Time) {
+	for _, w := range d.sortedWorkers {
+		for _, r := range w.orderedRuns {
+			if r.above.overdue(now) && r.serving() {
+				d.adjustPaces(now, w)
+				break
 			}
-			r.keepReport(targetReport{now, headroom, beside})
-			d.logMissedTarget(now, r)
 		}
 	}
 }
@@ -98,12 +149,12 @@
 		return
 	}
 	r.missLoggedAt = now
-	above := time.Duration(0)
-	if !r.aboveTargetSince.IsZero() {
-		above = now.Sub(r.aboveTargetSince)
+	counted := time.Duration(0)
+	if !r.above.since.IsZero() {
+		counted = now.Sub(r.above.since)
 	}
 	d.logEvent(notice.TargetMissed, Attr{Key: "task", Value: r.Task.String()}, Attr{Key: "run", Value: r.Number},
-		Attr{Key: "worker", Value: r.worker.ID}, Attr{Key: "missed", Value: missed}, Attr{Key: "counted", Value: above},
+		Attr{Key: "worker", Value: r.worker.ID}, Attr{Key: "missed", Value: missed}, Attr{Key: "counted", Value: counted},
 		Attr{Key: "forecast", Value: r.marginAt(r.task.step.load.predict(now, paceHorizon)) + 1},
 		Attr{Key: "offset", Value: r.headroomOffset}, Attr{Key: "reports", Value: r.describeReports(now)},
 		Attr{Key: "beside", Value: r.worker.describeBestEffort(now)})
