--- a/internal/coordination/dispatch/backlog.go
+++ b/internal/coordination/dispatch/backlog.go
@@ -43,7 +43,7 @@
 			switch {
 			case !s.ready():
 			case p.d.unmetRequirement(s, route.Service) != fleetFits:
-				p.hopelessSteps++
+				p.unrunnableSteps++
 				p.logLongWait(s.firstWaiting(), route)
 			default:
 				if s.lastTurn == 0 {
--- a/internal/coordination/dispatch/load.go
+++ b/internal/coordination/dispatch/load.go
@@ -18,8 +18,8 @@
 	// for a task; Passes counts the placement passes over all work.
 	Inventories, Starts, Candidates, Passes int
 	// UnreachedSteps is the largest number of steps with ready tasks that one pass did not look at, because others before
-	// them found no worker. HopelessSteps are those that need what no worker of the fleet offers.
-	UnreachedSteps, HopelessSteps int
+	// them found no worker. UnrunnableSteps are those that need what no worker of the fleet offers.
+	UnreachedSteps, UnrunnableSteps int
 	// OpenJobs is the number of jobs that have not ended.
 	OpenJobs int
 	// WaitingShort, WaitingBestEffort and WaitingLongRunning are the tasks that could start but have no run.
@@ -87,7 +87,7 @@
 			switch {
 			case !step.ready():
 			case d.unmetRequirement(step, d.routes[j.Queue].Service) != fleetFits:
-				s.HopelessSteps++
+				s.UnrunnableSteps++
 			case step.LongRunning:
 				s.WaitingLongRunning += step.waiting
 			case step.BestEffort:
--- a/internal/coordination/dispatch/permit_test.go
+++ b/internal/coordination/dispatch/permit_test.go
@@ -105,8 +105,8 @@
 	}
 	sim.advanceTime(time.Second)
 	// Each of these takes four answers until no worker is left to ask about.
-	const hopeless = 100
-	for n := range hopeless {
+	const unrunnable = 100
+	for n := range unrunnable {
 		sim.accept(plainJob(job.ID(fmt.Sprintf("h%03d", n)), 1))
 	}
 	sim.advanceTime(time.Second)
@@ -114,6 +114,6 @@
 	sim.submit(plainJob(testID, 1))
 	sim.advanceTime(2 * time.Second)
 	asked := slices.IndexFunc(sim.adviceRequests[before:], func(q RequestAdvice) bool { return q.Step.Job == testID })
-	assert.Assert(t, asked >= 0 && before+asked <= hopeless, "asked about after %d requests, then %d", before, asked)
+	assert.Assert(t, asked >= 0 && before+asked <= unrunnable, "asked about after %d requests, then %d", before, asked)
 	assert.Equal(t, sim.phase(testID), job.Completed)
 }
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -32,7 +32,7 @@
 	p.sendAdviceRequests()
 	d.reserved = p.reserved
 	d.load.unreachedSteps = max(d.load.unreachedSteps, p.unreachedSteps)
-	if p.unplacedSteps > 0 || p.hopelessSteps > 0 {
+	if p.unplacedSteps > 0 || p.unrunnableSteps > 0 {
 		d.nextPass = now.Add(passInterval)
 	}
 }
@@ -71,8 +71,8 @@
 	// searches counts the searches for a worker, and fruitlessSearches those for steps of which a task found none.
 	searches, fruitlessSearches int
 	// unplacedSteps counts the steps with a task for which no worker was found, unreachedSteps those with ready tasks that
-	// the pass did not look at, and hopelessSteps those that the fleet can't run.
-	unplacedSteps, unreachedSteps, hopelessSteps int
+	// the pass did not look at, and unrunnableSteps those that the fleet can't run.
+	unplacedSteps, unreachedSteps, unrunnableSteps int
 	// adviceWanted are the steps about which the advice service could be asked.
 	adviceWanted []*step
 	// rejectedKinds holds the kinds of best-effort work that workers could have taken in this pass but none accepted, with
--- a/internal/coordination/dispatch/target_test.go
+++ b/internal/coordination/dispatch/target_test.go
@@ -118,8 +118,11 @@
 		lost, late float64
 	}{
 		{109, 40 * time.Second, 0, 0},
-		{109, 10 * time.Second, 0.03, 0}, {117, 10 * time.Second, 0.03, 0}, {135, 10 * time.Second, 0.03, 0},
-		{100, 20 * time.Second, 0.01, 0.01}, {127, 20 * time.Second, 0.01, 0.01},
+		{109, 10 * time.Second, 0.03, 0},
+		{117, 10 * time.Second, 0.03, 0},
+		{135, 10 * time.Second, 0.03, 0},
+		{100, 20 * time.Second, 0.01, 0.01},
+		{127, 20 * time.Second, 0.01, 0.01},
 	} {
 		t.Run(fmt.Sprintf("seed %d, period %v, lost %v, late %v", test.seed, test.period, test.lost, test.late), func(t *testing.T) {
 			t.Parallel()
--- a/internal/coordination/dispatch/hopeless_test.go
+++ b/internal/coordination/dispatch/unrunnable_test.go
@@ -13,8 +13,8 @@
 	"github.com/jujubearch/jujubearch/internal/state/notice"
 )
 
-// hopelessKinds are changes of a step after which no worker of a simulation takes its tasks, now or ever.
-var hopelessKinds = []struct {
+// unrunnableKinds are changes of a step after which no worker of a simulation takes its tasks, now or ever.
+var unrunnableKinds = []struct {
 	name   string
 	change func(s *job.Step)
 }{
@@ -32,8 +32,8 @@
 	{"long-running gang", func(s *job.Step) { s.Label, s.LongRunning, s.Gang, s.Tasks = "none", true, true, 2 }},
 }
 
-// submitHopeless submits jobs of four independent steps that no worker takes.
-func submitHopeless(sim *simulation, jobs int, change func(s *job.Step)) {
+// submitUnrunnable submits jobs of four independent steps that no worker takes.
+func submitUnrunnable(sim *simulation, jobs int, change func(s *job.Step)) {
 	for n := range jobs {
 		j := plainJob(job.ID(fmt.Sprintf("h%04d", n)), 1)
 		j.Steps[0].Size.CPUMillis = 2000
@@ -81,8 +81,8 @@
 
 // Guards against work that never starts on idle workers because steps that no worker can ever take use up each placement
 // pass.
-func TestHopelessStepsDoNotKeepOthersFromStarting(t *testing.T) {
-	for _, kind := range hopelessKinds {
+func TestUnrunnableStepsDoNotKeepOthersFromStarting(t *testing.T) {
+	for _, kind := range unrunnableKinds {
 		for _, jobs := range []int{11, 100} {
 			t.Run(fmt.Sprintf("%s, %d jobs", kind.name, jobs), func(t *testing.T) {
 				sim := newSimulation(1, 8)
@@ -95,7 +95,7 @@
 					}
 				}
 				sim.advanceTime(time.Second)
-				submitHopeless(sim, jobs, kind.change)
+				submitUnrunnable(sim, jobs, kind.change)
 				sim.advanceTime(4 * time.Second)
 				for _, j := range lateJobs() {
 					sim.submit(j)
@@ -155,13 +155,13 @@
 	}
 }
 
-// Guards against steps that are hopeless for good: they start soon after a worker has come that can run them.
-func TestHopelessStepsStartOnceAWorkerFits(t *testing.T) {
+// Guards against unrunnable steps that stay so for good: they start soon after a worker has come that can run them.
+func TestUnrunnableStepsStartOnceAWorkerFits(t *testing.T) {
 	const (
 		jobs          = 12
 		maxStartDelay = 3 * time.Second
 	)
-	for _, kind := range hopelessKinds {
+	for _, kind := range unrunnableKinds {
 		sim := newSimulation(1, 8)
 		startedJobs := func() int {
 			started := 0
@@ -173,7 +173,7 @@
 			return started
 		}
 		sim.advanceTime(time.Second)
-		submitHopeless(sim, jobs, kind.change)
+		submitUnrunnable(sim, jobs, kind.change)
 		sim.advanceTime(4 * time.Second)
 		assert.Equal(t, startedJobs(), 0, kind.name)
 		for i := range 2 {
@@ -189,12 +189,12 @@
 	}
 }
 
-// Guards against hopeless steps for which each pass examines the workers again.
-func TestHopelessStepsCostNoSearch(t *testing.T) {
-	for _, kind := range hopelessKinds {
+// Guards against unrunnable steps for which each pass examines the workers again.
+func TestUnrunnableStepsCostNoSearch(t *testing.T) {
+	for _, kind := range unrunnableKinds {
 		sim := newSimulation(1, 8)
 		sim.advanceTime(time.Second)
-		submitHopeless(sim, 200, kind.change)
+		submitUnrunnable(sim, 200, kind.change)
 		sim.advanceTime(4 * time.Second)
 		d := sim.leader
 		work := examined(d, func() {
@@ -212,13 +212,13 @@
 		"gang that is too wide": needsMoreWorkers, "best-effort, accelerators": needsAccelerators,
 		"long-running, label": needsLabel, "long-running gang": needsLabel,
 	}
-	for _, kind := range hopelessKinds {
+	for _, kind := range unrunnableKinds {
 		if want[kind.name] == fleetFits {
 			continue
 		}
 		sim := newSimulation(1, 8)
 		sim.advanceTime(time.Second)
-		submitHopeless(sim, 30, kind.change)
+		submitUnrunnable(sim, 30, kind.change)
 		sim.advanceTime(4 * time.Second)
 		lines := 0
 		for _, l := range sim.logEvents {
@@ -320,10 +320,10 @@
 }
 
 // Guards against placement that prefers some images on a worker for the sake of work that no worker can run.
-func TestHopelessWorkIsNoDemand(t *testing.T) {
+func TestUnrunnableWorkIsNoDemand(t *testing.T) {
 	sim := newSimulation(1, 2)
 	sim.advanceTime(time.Second)
-	for id, label := range map[job.ID]string{"hopeless": "none", "plain": ""} {
+	for id, label := range map[job.ID]string{"unrunnable": "none", "plain": ""} {
 		j := plainJob(id, 4)
 		j.Steps[0].BestEffort, j.Steps[0].Image, j.Steps[0].Label = true, "image-"+string(id), label
 		j.Queue = "q"
--- a/internal/transport/jobs/load.go
+++ b/internal/transport/jobs/load.go
@@ -39,7 +39,7 @@
 		notice.Attr{Key: "inventories", Value: s.Inventories}, notice.Attr{Key: "starts", Value: s.Starts},
 		notice.Attr{Key: "candidates", Value: s.Candidates}, notice.Attr{Key: "passes", Value: s.Passes},
 		notice.Attr{Key: "unreached_steps", Value: s.UnreachedSteps},
-		notice.Attr{Key: "hopeless_steps", Value: s.HopelessSteps},
+		notice.Attr{Key: "unrunnable_steps", Value: s.UnrunnableSteps},
 		notice.Attr{Key: "open_jobs", Value: s.OpenJobs}, notice.Attr{Key: "waiting_short", Value: s.WaitingShort},
 		notice.Attr{Key: "waiting_best_effort", Value: s.WaitingBestEffort},
 		notice.Attr{Key: "waiting_long_running", Value: s.WaitingLongRunning},
