Ask about a gang once in a pass, and count one search for it

TestGangIsAskedAboutOnce fails without the check. A gang that asks for one rack counted as one search for each rack, so that on a fleet of many racks one such gang used up the bound of the ordered steps.

--- a/internal/coordination/dispatch/gang.go
+++ b/internal/coordination/dispatch/gang.go
@@ -17,14 +17,14 @@
 	if s.SameRack {
 		racks = append(p.usableRacks(route), "")
 	}
+	p.searches++
 	for _, rack := range racks {
-		p.searches++
 		if p.placeGangOn(s, route, rack, number) {
 			return
 		}
 	}
 	p.unplacedSteps++
-	p.fruitlessSearches += len(racks)
+	p.fruitlessSearches++
 	p.logLongWait(s.tasks[0], route)
 	p.wantAdvice(s, route)
 }
--- a/internal/coordination/dispatch/permit.go
+++ b/internal/coordination/dispatch/permit.go
@@ -82,6 +82,10 @@
 		if p.d.adviceInFlight >= maxAdviceInFlight {
 			return
 		}
+		// A step may be noted twice, and a gang may have found workers since.
+		if s.permits.requestInFlight || !s.ready() {
+			continue
+		}
 		s.permits.lastTry = p.d.passNumber
 		t := s.firstWaiting()
 		p.requestAdvice(t, p.d.routes[t.owner.Queue])
--- a/internal/coordination/dispatch/permit_test.go
+++ b/internal/coordination/dispatch/permit_test.go
@@ -117,3 +117,19 @@
 	assert.Assert(t, asked >= 0 && before+asked <= unrunnable, "asked about after %d requests, then %d", before, asked)
 	assert.Equal(t, sim.phase(testID), job.Completed)
 }
+
+// Guards against two requests at once about a gang, which a pass may look at twice.
+func TestGangIsAskedAboutOnce(t *testing.T) {
+	sim := simulationWithAdvice()
+	gang := plainJob(testID, 2)
+	gang.Steps[0].Gang, gang.Steps[0].LongRunning = true, true
+	sim.submit(gang)
+	sim.advanceTime(20 * time.Millisecond)
+	assert.Equal(t, len(sim.adviceRequests), 1)
+	s := sim.leader.jobs[testID].occurrences[0].steps[0]
+	s.permits.requestInFlight, sim.leader.adviceInFlight = false, 0
+	s.tasks[0].hasRun, s.tasks[1].hasRun = true, true
+	sim.leader.place(sim.now)
+	sim.execute(sim.leader)
+	assert.Equal(t, len(sim.adviceRequests), 2, "one request more in a pass that looks at the gang twice")
+}
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -138,8 +138,7 @@
 	}
 	p.d.logEvent(notice.TaskWaits, Attr{Key: "job", Value: t.Job}, Attr{Key: "task", Value: t.String()},
 		Attr{Key: "waited", Value: waited}, Attr{Key: "reason", Value: reason}, Attr{Key: "needs", Value: string(needs)},
-		Attr{Key: "late", Value: t.owner.late},
-		Attr{Key: "due", Value: t.owner.due})
+		Attr{Key: "late", Value: t.owner.late}, Attr{Key: "due", Value: t.owner.due})
 }
 
 func (p *pass) start(t *task, w *worker) {
