--- a/internal/coordination/dispatch/target.go
+++ b/internal/coordination/dispatch/target.go
@@ -21,6 +21,8 @@
 	// logged. minMissShare is the share of the reports since then that say so: reports are rough.
 	minLoggedMiss = 2500 * time.Millisecond
 	minMissShare  = 0.7
+	// maxLoggedRuns limits the best-effort runs that a line names.
+	maxLoggedRuns = 12
 	// missLogInterval is the minimum time between two such lines of one task.
 	missLogInterval = 4 * time.Second
 )
@@ -169,16 +171,24 @@
 	return strings.Join(parts, " ")
 }
 
-// describeBestEffort returns the best-effort runs of a worker with the age of their placement, phase, pace and the value of
-// their jobs' work.
+// describeBestEffort returns the first maxLoggedRuns best-effort runs of a worker with the age of their placement, phase,
+// pace and the value of their jobs' work, and the number of the others.
 func (w *worker) describeBestEffort(now time.Time) string {
 	phases := [...]string{starting: "starting", running: "running", stopping: "stopping"}
 	var parts []string
+	others := 0
 	for _, r := range w.orderedRuns {
-		if r.task != nil && r.task.step.BestEffort {
+		switch {
+		case r.task == nil || !r.task.step.BestEffort:
+		case len(parts) == maxLoggedRuns:
+			others++
+		default:
 			parts = append(parts, fmt.Sprintf("%v:%.2fs,%s,%d%%,%.2f", r.Task, now.Sub(r.placedAt).Seconds(), phases[r.phase],
 				r.pace, r.task.owner.workValue))
 		}
 	}
+	if others > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", others))
+	}
 	return strings.Join(parts, " ")
 }
--- a/internal/coordination/dispatch/target_test.go
+++ b/internal/coordination/dispatch/target_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jujubearch/jujubearch/internal/state/job"
 	"github.com/jujubearch/jujubearch/internal/state/model"
+	"github.com/jujubearch/jujubearch/internal/state/notice"
 )
 
 // Guards against a count that begins with the report that shows the miss, a report interval late, and against one that
@@ -136,3 +137,35 @@
 		})
 	}
 }
+
+// Guards against a line about a missed target that grows with the tasks on the worker, and against none.
+func TestMissedTargetIsLoggedInABoundedLine(t *testing.T) {
+	sim, bestEffort := servingBesideBestEffort(t)
+	w := bestEffort.worker
+	for n := range 100 {
+		r := *bestEffort
+		r.Number += job.RunNumber(n + 1)
+		w.orderedRuns = append(w.orderedRuns, &r)
+	}
+	serving := w.orderedRuns[0]
+	serving.metric = 200
+	for range 2 * keptReports {
+		sim.now = sim.now.Add(400 * time.Millisecond)
+		sim.leader.trackTargets(sim.now, w)
+	}
+	lines := 0
+	for _, a := range sim.leader.Actions() {
+		l, ok := a.(LogEvent)
+		if !ok || l.Code != notice.TargetMissed {
+			continue
+		}
+		lines++
+		size := 0
+		for _, attr := range l.Attrs {
+			size += len(fmt.Sprint(attr.Value))
+		}
+		const maxLineBytes = 2048
+		assert.Assert(t, size < maxLineBytes, "%d bytes", size)
+	}
+	assert.Equal(t, lines, 2, "one line every %v", missLogInterval)
+}
