Keep a job from being stored after its cancellation was answered

What callers saw: a caller submitted a job at an entry that was cut off from the store, got no response and cancelled the job at another entry, which answered 410.

Cause: a cancellation that found the job neither at the leader nor in the store was answered without leaving anything behind. A submission is a write on condition that the key of the job does not exist, and the condition still held seconds later.

Evidence: 7005 cancel-answered with the outcome "unknown", then 7201 of the job, and no 7001 at any entry. The leader and the store were undisturbed.

Fix: such a cancellation writes a tombstone under the key of the job, on condition that the key does not exist. The store decides which of the two writes takes effect. 410 is answered once the tombstone is stored; a submission of the id is refused with 410. Leaders remove tombstones like ended jobs, but not while a write may still be late. 7005 has the last error of an undecided cancellation, which was swallowed before.

Ruled out: a final progress record by the leader, which does not keep the write out of the store.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -203,7 +203,7 @@
 // Inspect returns the phase of a job that callers may see, and whether the job is known.
 func (d *Dispatcher) Inspect(id job.ID) (job.Phase, bool) {
 	j, ok := d.jobs[id]
-	if !ok {
+	if !ok || j.tombstone {
 		return job.Queued, false
 	}
 	return j.visiblePhase(), true
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -53,6 +53,8 @@
 	omitCheckpoints bool
 	// cancelPending means that a caller is waiting for the cancellation to be committed.
 	cancelPending bool
+	// tombstone means that the job was cancelled before it was stored, so that callers do not see it.
+	tombstone bool
 }
 
 type step struct {
@@ -169,6 +171,20 @@
 	d.passNeeded = true
 }
 
+// AddTombstone adds the tombstone of a job, which is removed from the store like a job that has ended, but not before the
+// store has carried out all writes of the job.
+func (d *Dispatcher) AddTombstone(now time.Time, id job.ID) {
+	if _, known := d.jobs[id]; known {
+		return
+	}
+	state := &jobState{
+		Job: job.Job{ID: id}, phase: job.Cancelled, committedPhase: job.Cancelled, tombstone: true,
+		endedAt: now.Add(max(0, maxOrderDelay-d.settings.StatusRetention)),
+	}
+	d.jobs[id] = state
+	d.endedJobs = append(d.endedJobs, state)
+}
+
 // memoryRatioWeight is the weight of a new job in the moving average of the tasks' ratio of memory to CPU.
 const memoryRatioWeight = 0.05
 
@@ -293,7 +309,7 @@
 // committed, or at once if the final phase of the job is already committed.
 func (d *Dispatcher) Cancel(id job.ID) bool {
 	j, ok := d.jobs[id]
-	if !ok {
+	if !ok || j.tombstone {
 		return false
 	}
 	if j.committedPhase.Final() {
--- a/internal/coordination/scheduler/leading.go
+++ b/internal/coordination/scheduler/leading.go
@@ -77,6 +77,8 @@
 			if !c.leadership.unreadableJobs[j.ID] {
 				c.leadership.dispatcher.AddJob(now, *j, progress[j.ID], r.Revision)
 			}
+		case *job.Tombstone:
+			c.leadership.dispatcher.AddTombstone(now, j.ID)
 		case nil:
 			if r.Err != nil {
 				c.refuseRecord(r)
--- a/internal/protocol/jobrecord/job.go
+++ b/internal/protocol/jobrecord/job.go
@@ -22,6 +22,8 @@
 	Accepted int64      `json:"accepted"`
 	// Route is missing in the records of earlier releases, which ignore it.
 	Route *routeJSON `json:"route,omitempty"`
+	// Tombstone marks a job.Tombstone, which has no other field.
+	Tombstone bool `json:"tombstone,omitempty"`
 }
 
 // routeJSON is the stored form of a job.AcceptedRoute, without the queue. Durations are in microseconds, because the advice
@@ -125,11 +127,15 @@
 // ErrInvalid means that a record is well-formed JSON but has an invalid value.
 const ErrInvalid = errors.ConstError("invalid record")
 
-func decodeJob(id job.ID, text []byte) (*job.Job, error) {
+// decodeJob returns a *job.Job or a *job.Tombstone.
+func decodeJob(id job.ID, text []byte) (any, error) {
 	var v jobJSON
 	if err := json.Unmarshal(text, &v); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if v.Tombstone {
+		return &job.Tombstone{ID: id}, nil
+	}
 	j := &job.Job{
 		ID: id, Queue: job.Queue(v.Queue), Payload: v.Payload, Accepted: time.UnixMilli(v.Accepted),
 		Schedule: job.Schedule{
--- a/internal/protocol/jobrecord/jobrecord.go
+++ b/internal/protocol/jobrecord/jobrecord.go
@@ -128,6 +128,8 @@
 		stored = encodeInterference(v)
 	case *job.Job:
 		stored = encodeJob(v)
+	case *job.Tombstone:
+		stored = jobJSON{Tombstone: true}
 	case *job.Progress:
 		stored = encodeProgress(v)
 	default:
--- a/internal/protocol/jobrecord/jobrecord_test.go
+++ b/internal/protocol/jobrecord/jobrecord_test.go
@@ -114,6 +114,7 @@
 		job.KeyInterference: &job.Interference{Pairs: []job.InterferencePair{
 			{Serving: "s", BestEffort: "f", Slope: 9.25, StdError: 0.5},
 		}},
+		job.Key("0123456789ab"):         &job.Tombstone{ID: "0123456789ab"},
 		job.ProgressKey("0123456789ab"): &job.Progress{Job: "0123456789ab", Phase: job.Failed, Tasks: map[job.TaskKey]job.TaskProgress{}},
 	} {
 		text, err := Encode(record)
--- a/internal/state/job/record.go
+++ b/internal/state/job/record.go
@@ -66,6 +66,10 @@
 	EarlierMajority time.Duration
 }
 
+// Tombstone is the record under the key of a job that was cancelled before it was stored. A write of the job that is still
+// on its way to the store expects that the key does not exist, so that it has no effect.
+type Tombstone struct{ ID ID }
+
 // TaskKey identifies a task within its job.
 type TaskKey struct {
 	Occurrence int
--- a/internal/transport/jobs/api.go
+++ b/internal/transport/jobs/api.go
@@ -98,6 +98,8 @@
 		WriteRefusal(w, http.StatusServiceUnavailable, "store", "")
 	case Unstorable:
 		WriteRefusal(w, http.StatusRequestEntityTooLarge, "job-too-large", "")
+	case Cancelled:
+		WriteRefusal(w, http.StatusGone, "cancelled", "the job was cancelled before it was stored")
 	case Undecided, Unknown:
 		WriteUndecided(w)
 	}
@@ -116,7 +118,7 @@
 		writeJSON(w, jobapi.Status{ID: id, Phase: phase.String()})
 	case Unknown:
 		WriteRefusal(w, http.StatusNotFound, "no-such-job", string(id))
-	case Refused, Undecided, Unstorable:
+	case Refused, Undecided, Unstorable, Cancelled:
 		WriteRefusal(w, http.StatusServiceUnavailable, "store", "")
 	}
 }
@@ -130,7 +132,7 @@
 		a.inspect(w, r)
 	case Unknown:
 		WriteRefusal(w, http.StatusNotFound, "no-such-job", string(id))
-	case Refused, Undecided, Unstorable:
+	case Refused, Undecided, Unstorable, Cancelled:
 		WriteUndecided(w)
 	}
 }
--- a/internal/transport/jobs/service.go
+++ b/internal/transport/jobs/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,11 +48,13 @@
 	// Unstorable means that the request had no effect and never will, however often it is sent, because the job can't be
 	// stored.
 	Unstorable
+	// Cancelled means that the job was cancelled before it was stored, and is not stored any more.
+	Cancelled
 )
 
 // String returns the outcome for logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"undecided", "accepted", "refused", "unknown", "unstorable"}[o]
+	return [...]string{"undecided", "accepted", "refused", "unknown", "unstorable", "cancelled"}[o]
 }
 
 // ErrStoreUnavailable means that the core considers the store unavailable.
@@ -85,7 +88,7 @@
 	s.Metrics.observeRequest("submit", outcome.String(), start)
 	code := notice.JobAccepted
 	switch outcome {
-	case Refused, Unstorable:
+	case Refused, Unstorable, Cancelled:
 		code = notice.JobRefused
 	case Undecided:
 		code = notice.JobUndecided
@@ -119,9 +122,12 @@
 		return Refused, 0, ErrStoreUnavailable
 	}
 	for attempts := 1; ; attempts++ {
-		// If the transaction was not applied, the key exists: an earlier attempt has stored the job.
-		_, err := s.commitOnce(ctx, tx)
+		// If the transaction was not applied, the key exists: an earlier attempt has stored the job, or it was cancelled.
+		result, err := s.commitOnce(ctx, tx)
 		if err == nil {
+			if result.holdsTombstone() {
+				return Cancelled, attempts, nil
+			}
 			return Accepted, attempts, nil
 		}
 		mayHaveRun = mayHaveRun || verdict.Of(err) != verdict.NotRun
@@ -137,6 +143,15 @@
 	}
 }
 
+// holdsTombstone reports whether a transaction was not applied because the job that it expected not to exist was cancelled
+// before it was stored.
+func (r *TransactionResult) holdsTombstone() bool {
+	return !r.Applied && slices.ContainsFunc(r.CurrentItems, func(item Item) bool {
+		_, ok := decodeItem(item).Value.(*job.Tombstone)
+		return ok
+	})
+}
+
 // commitOnce makes one attempt to commit a transaction.
 func (s *Service) commitOnce(ctx context.Context, tx Transaction) (TransactionResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -225,36 +240,61 @@
 	if err != nil {
 		return job.Queued, false, err
 	}
+	if _, ok := decodeItem(jobItem).Value.(*job.Tombstone); ok {
+		return job.Queued, false, nil
+	}
 	return job.Queued, jobItem.Revision != 0, nil
 }
 
-// Cancel cancels a job. The outcome is Accepted if the cancellation is stored or the job had already ended.
+// Cancel cancels a job. The outcome is Accepted if the cancellation is stored or the job had already ended, and Unknown if
+// the job is not stored and no write of it that is still on its way can store it.
 func (s *Service) Cancel(ctx context.Context, id job.ID) Outcome {
 	start := time.Now()
-	outcome := s.cancel(ctx, id)
+	outcome, err := s.cancel(ctx, id)
 	s.Metrics.observeRequest("cancel", outcome.String(), start)
-	event.Log(s.Logger, notice.CancelAnswered, notice.Attr{Key: "job", Value: id},
-		notice.Attr{Key: "outcome", Value: outcome.String()}, notice.Attr{Key: "took", Value: time.Since(start)})
+	attrs := []notice.Attr{
+		{Key: "job", Value: id}, {Key: "outcome", Value: outcome.String()}, {Key: "took", Value: time.Since(start)},
+	}
+	if err != nil {
+		attrs = append(attrs, notice.Attr{Key: "error", Value: err.Error()})
+	}
+	event.Log(s.Logger, notice.CancelAnswered, attrs...)
 	return outcome
 }
 
-func (s *Service) cancel(ctx context.Context, id job.ID) Outcome {
+// cancel also returns the last error if the outcome is Undecided.
+func (s *Service) cancel(ctx context.Context, id job.ID) (Outcome, error) {
 	for {
 		reply, err := s.cancelAtLeader(ctx, id)
 		if err == nil && !reply.NotLeader {
 			if reply.Known {
-				return Accepted
+				return Accepted, nil
 			}
-			if _, known, err := s.phaseFromStore(ctx, id); err == nil && !known {
-				return Unknown
+			// The leader may not have read the job yet.
+			var stored bool
+			if stored, err = s.storeTombstone(ctx, id); stored {
+				return Unknown, nil
 			}
 		}
 		if !sleep(ctx, retryDelay) {
-			return Undecided
+			return Undecided, err
 		}
 	}
 }
 
+// storeTombstone stores the tombstone of a job, and reports whether the store holds it. It fails while the job is stored.
+// A write of the job whose outcome is unknown may reach the store after the caller has cancelled the job; the tombstone
+// keeps it from taking effect.
+func (s *Service) storeTombstone(ctx context.Context, id job.ID) (bool, error) {
+	value, err := jobrecord.Encode(&job.Tombstone{ID: id})
+	if err != nil {
+		return false, err
+	}
+	key := job.Key(id)
+	result, err := s.commitOnce(ctx, Transaction{Expect: []job.Expectation{{Key: key}}, Puts: []Put{{Key: key, Value: value}}})
+	return err == nil && (result.Applied || result.holdsTombstone()), err
+}
+
 // cancelAtLeader asks the leader to cancel a job. NotLeader is set in the result if no leader is known.
 func (s *Service) cancelAtLeader(ctx context.Context, id job.ID) (scheduler.CancelOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
