Create the state of a task when it is looked at for a start

Cause: a leader created the state of all tasks of a job as soon as it learned of it, exceeded its memory and was killed, and so did each leader after it.

Fix: a step holds its tasks as counts. The state of a task is created when the task is looked at for a start, in the order of the indices, and dropped once it is done without a run. Gangs and reservations are planned without it. The same cause elsewhere: the open occurrences of recurring jobs were bounded for each job only; they share a bound now.

--- a/internal/coordination/dispatch/backlog.go
+++ b/internal/coordination/dispatch/backlog.go
@@ -58,7 +58,10 @@
 
 // firstWaiting returns the first task of a ready step that could start.
 func (s *step) firstWaiting() *task {
-	return s.tasks[slices.IndexFunc(s.tasks, func(t *task) bool { return t.waiting })]
+	for t := range s.waitingTasks() {
+		return t
+	}
+	return nil
 }
 
 // placeSteps places the tasks of ready steps. The searches of a pass are bounded, and what finds no worker now may find
--- a/internal/coordination/dispatch/bench_test.go
+++ b/internal/coordination/dispatch/bench_test.go
@@ -89,7 +89,7 @@
 	}
 	again.rejectedKinds = p.rejectedKinds
 	for _, j := range d.openJobs {
-		for _, t := range j.occurrences[0].steps[0].tasks {
+		for t := range j.occurrences[0].steps[0].waitingTasks() {
 			if t.step.BestEffort && j.hasRuns() && len(t.runs) == 0 &&
 				j.workValue <= p.rejectedKinds[bestEffortKind{"s", t.step.Image}] {
 				again.chooseWorker(t, d.routes.of(j.Queue))
--- a/internal/coordination/dispatch/commit.go
+++ b/internal/coordination/dispatch/commit.go
@@ -238,44 +238,6 @@
 	return found
 }
 
-// progress returns the part of a job's state that must survive a change of the leader.
-func (j *jobState) progress() *job.Progress {
-	p := &job.Progress{Job: j.ID, Phase: j.phase}
-	if j.phase.Final() {
-		return p
-	}
-	p.Tasks = make(map[job.TaskKey]job.TaskProgress)
-	if j.Times > 0 {
-		p.Opened = j.opened
-	}
-	for _, o := range j.occurrences {
-		if j.Times > 0 {
-			p.Unfinished = append(p.Unfinished, o.number)
-		}
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if stored := t.progress(); !stored.IsZero() {
-					p.Tasks[t.Key()] = stored
-				}
-			}
-		}
-	}
-	return p
-}
-
-// progress returns the state of a task to store. The checkpoint of a task with a run is left out, since its worker
-// reports it to the next leader.
-func (t *task) progress() job.TaskProgress {
-	if t.done {
-		return job.TaskProgress{Done: true}
-	}
-	p := job.TaskProgress{FailedRuns: slices.Clone(t.failedRuns), Crashes: t.crashes, QuickCrashes: t.quickCrashes}
-	if len(t.runs) == 0 && !t.owner.omitCheckpoints {
-		p.Checkpoint = t.checkpoint
-	}
-	return p
-}
-
 // HandleCommit handles the response to a commit. applied is true if the transaction took effect; if it did not,
 // current is the commit record in the store.
 func (d *Dispatcher) HandleCommit(
@@ -346,7 +308,8 @@
 		if b.phases[i].Final() {
 			j.committedPhase, j.endedAt = b.phases[i], now
 			// Only the phase is needed from now on. Runs that are being stopped keep their tasks.
-			j.occurrences, j.Steps, j.Payload = nil, nil, ""
+			d.closeOccurrences(j)
+			j.Steps, j.Payload = nil, ""
 			d.endedJobs = append(d.endedJobs, j)
 			if j.cancelPending {
 				j.cancelPending = false
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -95,6 +95,8 @@
 	actions          []Action
 	// pendingJobs counts for each queue the jobs that have not started any task.
 	pendingJobs map[job.Queue]int
+	// recurringSteps counts the steps of the open occurrences of recurring jobs.
+	recurringSteps int
 	// memoryPerCPU is the moving average of the memory demand, in bytes per thousandth of a core, of tasks that are
 	// neither best-effort nor long-running.
 	memoryPerCPU float64
--- a/internal/coordination/dispatch/end.go
+++ b/internal/coordination/dispatch/end.go
@@ -100,8 +100,8 @@
 		return
 	}
 	// The end of one member counts for the whole gang.
-	for _, member := range t.step.tasks {
-		if !member.done {
+	for i := range t.step.Tasks {
+		if member := t.step.task(i); !member.done {
 			d.finishTask(now, member)
 		}
 	}
@@ -122,8 +122,8 @@
 	}
 	for _, dependent := range s.dependents {
 		dependent.pendingDependencies--
-		dependent.pathBefore = s.path
-		for _, waiting := range dependent.tasks {
+		dependent.pathBefore, dependent.readySince = s.path, now
+		for waiting := range dependent.touchedTasks() {
 			waiting.readySince, waiting.firstReadyAt = now, now
 		}
 	}
@@ -135,7 +135,7 @@
 	if o.stepsLeft > 0 {
 		return
 	}
-	j.closeOccurrence(o)
+	d.closeOccurrence(j, o)
 	if j.allDone() && !j.phase.Final() {
 		d.recordStages(now, j)
 		d.endJob(j, job.Completed)
--- a/internal/coordination/dispatch/gang.go
+++ b/internal/coordination/dispatch/gang.go
@@ -7,8 +7,16 @@
 // placeGang places all tasks of a gang step at once, or none. If the step asks for one rack, it tries each rack
 // before it spreads the tasks over several.
 func (p *pass) placeGang(s *step, route job.Route) {
-	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || p.d.mayBeRunning(t) || t.awaitsCrashCommit() {
+	if s.waiting < s.Tasks {
+		return
+	}
+	for i := range s.Tasks {
+		if p.d.mayBeRunning(s.keyOf(i)) {
+			return
+		}
+	}
+	for t := range s.touchedTasks() {
+		if t.awaitsCrashCommit() {
 			return
 		}
 	}
@@ -25,7 +33,7 @@
 	}
 	p.unplacedSteps++
 	p.fruitlessSearches++
-	p.logLongWait(s.tasks[0], route)
+	p.logLongWait(s.task(0), route)
 	p.wantAdvice(s, route)
 }
 
@@ -43,10 +51,16 @@
 
 // placeGangOn finds room for every task and starts all of them, or none; an empty rack means any.
 func (p *pass) placeGangOn(s *step, route job.Route, rack string, number job.RunNumber) bool {
-	chosen := make([]*worker, 0, len(s.tasks))
+	chosen := make([]*worker, 0, s.Tasks)
 	size := reservedSize(s.Step)
 	taken := make(map[*worker]int64)
-	for _, t := range s.tasks {
+	// One task stands for all that have no state.
+	untouched := s.newTask(len(s.tasks))
+	for i := range s.Tasks {
+		t := untouched
+		if i < len(s.tasks) {
+			t = s.tasks[i]
+		}
 		var best *worker
 		for _, w := range p.d.sortedWorkers {
 			if (rack != "" && w.Rack != rack) || !p.acceptsStarts(w, route) || !p.meetsConstraints(t, w) ||
@@ -69,8 +83,9 @@
 		taken[best]++
 		chosen = append(chosen, best)
 	}
-	checkpoint := s.tasks[0].checkpoint
-	for i, t := range s.tasks {
+	checkpoint := s.task(0).checkpoint
+	for i := range s.Tasks {
+		t := s.task(i)
 		t.checkpoint = checkpoint
 		p.d.startTask(p.now, t, chosen[i], number)
 	}
--- a/internal/coordination/dispatch/headroom_test.go
+++ b/internal/coordination/dispatch/headroom_test.go
@@ -93,8 +93,8 @@
 	state := sim.leader.jobs[j.ID]
 	state.updateValue(sim.now)
 	assert.Equal(t, state.workValue, 1.0)
-	sim.leader.finishTask(sim.now, state.occurrences[0].steps[0].tasks[0])
-	sim.leader.finishTask(sim.now, state.occurrences[0].steps[0].tasks[1])
+	sim.leader.finishTask(sim.now, state.occurrences[0].steps[0].task(0))
+	sim.leader.finishTask(sim.now, state.occurrences[0].steps[0].task(1))
 	state.updateValue(sim.now)
 	assert.Equal(t, state.workValue, 2.0, "half of the work is left")
 	state.updateValue(state.due)
--- a/internal/coordination/dispatch/intake.go
+++ b/internal/coordination/dispatch/intake.go
@@ -59,9 +59,15 @@
 
 type step struct {
 	*job.Step
-	index     int
-	tasks     []*task
-	tasksLeft int
+	owner             *jobState
+	occurrence, index int
+	// tasks holds the tasks with the lowest indices, up to the highest one that was looked at for a start. An entry is nil
+	// if the task is done and has no run. Those behind were never started and have no state, so that the leader's memory
+	// grows with the work that it does and not with the work that is submitted.
+	tasks []*task
+	// readySince is since when the tasks that were never started have been ready.
+	readySince time.Time
+	tasksLeft  int
 	// waiting counts the tasks that are neither done nor have a run.
 	waiting int
 	// kind is the index of the estimates for best-effort tasks of this step, plus 1; 0 before the first use.
@@ -268,6 +274,7 @@
 // updateWaiting updates the counts of waiting tasks. It is called after each change of whether the task is done or has
 // runs.
 func (t *task) updateWaiting() {
+	t.step.dropDone(t)
 	waiting := !t.done && len(t.runs) == 0
 	if waiting == t.waiting {
 		return
@@ -285,7 +292,7 @@
 func (j *jobState) hasRuns() bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for t := range s.touchedTasks() {
 				if len(t.runs) > 0 {
 					return true
 				}
@@ -332,7 +339,7 @@
 		Attr{Key: "phase", Value: phase.String()})
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for t := range s.touchedTasks() {
 				for _, r := range t.runs {
 					d.stopRun(r, "job-"+phase.String())
 				}
--- a/internal/coordination/dispatch/load.go
+++ b/internal/coordination/dispatch/load.go
@@ -113,12 +113,9 @@
 	if !d.mayPlace(j) {
 		return s.waiting
 	}
-	if len(d.recovery.possiblyRunning) == 0 {
-		return 0
-	}
 	count := 0
-	for _, t := range s.tasks {
-		if t.waiting && d.mayBeRunning(t) {
+	for t := range d.recovery.possiblyRunning {
+		if t == s.keyOf(t.Index) && t.Index < s.Tasks && s.isWaiting(t.Index) {
 			count++
 		}
 	}
--- a/internal/coordination/dispatch/occurrence.go
+++ b/internal/coordination/dispatch/occurrence.go
@@ -12,6 +12,10 @@
 // due, until earlier ones are done, so that neither the leader's memory nor the stored progress grows with their number.
 const maxOpenTasks = job.MaxTasksPerStep
 
+// maxRecurringSteps bounds the steps of the unfinished occurrences of all recurring jobs together, but for one occurrence of
+// each. A placement pass looks at each of them, and each takes about half a kilobyte.
+const maxRecurringSteps = 2000
+
 // occurrence is one of the times that a job runs.
 type occurrence struct {
 	number    int
@@ -19,19 +23,15 @@
 	stepsLeft int
 }
 
-// openOccurrence creates the steps and tasks of an occurrence.
+// openOccurrence creates the steps of an occurrence.
 func (d *Dispatcher) openOccurrence(j *jobState, number int, now time.Time) {
 	o := &occurrence{number: number, stepsLeft: len(j.Steps)}
 	for i := range j.Steps {
-		s := &step{Step: &j.Steps[i], index: i, tasksLeft: j.Steps[i].Tasks}
-		for n := range s.Tasks {
-			t := &task{
-				Task: job.Task{Job: j.ID, Occurrence: number, Step: i, Index: n}, step: s, owner: j,
-				readySince: now, firstReadyAt: now,
-			}
-			s.tasks = append(s.tasks, t)
-			t.updateWaiting()
+		tasks := j.Steps[i].Tasks
+		s := &step{
+			Step: &j.Steps[i], owner: j, occurrence: number, index: i, tasksLeft: tasks, waiting: tasks, readySince: now,
 		}
+		j.waiting += tasks
 		for _, dependency := range slices.Compact(slices.Sorted(slices.Values(s.After))) {
 			s.pendingDependencies++
 			o.steps[dependency].dependents = append(o.steps[dependency].dependents, s)
@@ -39,6 +39,9 @@
 		o.steps = append(o.steps, s)
 	}
 	j.occurrences = append(j.occurrences, o)
+	if j.Times > 0 {
+		d.recurringSteps += len(o.steps)
+	}
 	j.opened = max(j.opened, number+1)
 	d.assignRuns(j)
 	d.passNeeded = true
@@ -63,7 +66,7 @@
 }
 
 func (d *Dispatcher) openDueOccurrencesOf(j *jobState, now time.Time) {
-	for j.phase == job.Queued && j.opened < j.Times && j.mayOpenAnother() {
+	for j.phase == job.Queued && j.opened < j.Times && d.mayOpenAnother(j) {
 		if now.Round(0).Before(j.First.Add(time.Duration(j.opened) * j.Interval)) {
 			break
 		}
@@ -71,9 +74,10 @@
 	}
 }
 
-// mayOpenAnother reports whether another occurrence keeps within maxOpenTasks. One may always be open.
-func (j *jobState) mayOpenAnother() bool {
-	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*j.tasksPerOccurrence() <= maxOpenTasks
+// mayOpenAnother reports whether another occurrence keeps within maxOpenTasks and maxRecurringSteps. One may always be open.
+func (d *Dispatcher) mayOpenAnother(j *jobState) bool {
+	return len(j.occurrences) == 0 || (len(j.occurrences)+1)*j.tasksPerOccurrence() <= maxOpenTasks &&
+		d.recurringSteps+len(j.Steps) <= maxRecurringSteps
 }
 
 func (j *jobState) tasksPerOccurrence() int {
@@ -86,12 +90,21 @@
 
 // closeOccurrence drops an occurrence whose tasks are done. That of a job that does not recur stays until the final phase
 // is committed.
-func (j *jobState) closeOccurrence(o *occurrence) {
+func (d *Dispatcher) closeOccurrence(j *jobState, o *occurrence) {
 	if j.Times > 0 {
+		d.recurringSteps -= len(o.steps)
 		j.occurrences = slices.DeleteFunc(j.occurrences, func(other *occurrence) bool { return other == o })
 	}
 }
 
+// closeOccurrences drops what is left of the occurrences of a job that has ended.
+func (d *Dispatcher) closeOccurrences(j *jobState) {
+	if j.Times > 0 {
+		d.recurringSteps -= len(j.occurrences) * len(j.Steps)
+	}
+	j.occurrences = nil
+}
+
 // allDone reports whether all occurrences of a job were opened and their tasks are done.
 func (j *jobState) allDone() bool {
 	return j.opened >= j.Times &&
@@ -121,68 +134,8 @@
 // findTask returns a task of an open occurrence, or nil.
 func (j *jobState) findTask(key job.TaskKey) *task {
 	s := j.findStep(key.Occurrence, key.Step)
-	if s == nil || key.Index < 0 || key.Index >= len(s.tasks) {
+	if s == nil || key.Index < 0 || key.Index >= s.Tasks {
 		return nil
 	}
-	return s.tasks[key.Index]
-}
-
-// restoreProgress applies progress that an earlier leader committed.
-func (d *Dispatcher) restoreProgress(j *jobState, p *job.Progress, now time.Time) {
-	d.restoreOccurrences(j, p, now)
-	for key, stored := range p.Tasks {
-		t := j.findTask(key)
-		if t == nil {
-			continue
-		}
-		d.markStarted(j)
-		t.failedRuns, t.checkpoint = stored.FailedRuns, stored.Checkpoint
-		t.crashes, t.quickCrashes = stored.Crashes, stored.QuickCrashes
-		if stored.Done {
-			d.finishTask(now, t)
-		}
-	}
-	j.dirty = false
-}
-
-// restoreOccurrences opens the unfinished occurrences of a recurring job that an earlier leader had opened.
-func (d *Dispatcher) restoreOccurrences(j *jobState, p *job.Progress, now time.Time) {
-	if j.Times == 0 {
-		return
-	}
-	unfinished, opened := p.Unfinished, min(p.Opened, j.Times)
-	if opened == 0 {
-		unfinished, opened = j.unfinishedOccurrences(p)
-	}
-	for _, number := range unfinished {
-		if number < opened {
-			d.openOccurrence(j, number, now)
-		}
-	}
-	j.opened = opened
-	if len(j.occurrences) < j.opened {
-		d.markStarted(j)
-	}
-	if j.opened > 0 && j.allDone() {
-		d.endJob(j, job.Completed)
-	}
-}
-
-// unfinishedOccurrences returns which occurrences are unfinished, and how many have been opened, by a record of an earlier
-// release, which lists each task that is done.
-func (j *jobState) unfinishedOccurrences(p *job.Progress) (unfinished []int, opened int) {
-	tasksPerOccurrence, done := j.tasksPerOccurrence(), make(map[int]int)
-	for key, stored := range p.Tasks {
-		opened = max(opened, key.Occurrence+1)
-		if stored.Done {
-			done[key.Occurrence]++
-		}
-	}
-	opened = min(opened, j.Times)
-	for number := range opened {
-		if done[number] < tasksPerOccurrence {
-			unfinished = append(unfinished, number)
-		}
-	}
-	return unfinished, opened
+	return s.task(key.Index)
 }
--- a/internal/coordination/dispatch/permit_test.go
+++ b/internal/coordination/dispatch/permit_test.go
@@ -128,7 +128,7 @@
 	assert.Equal(t, len(sim.adviceRequests), 1)
 	s := sim.leader.jobs[testID].occurrences[0].steps[0]
 	s.permits.requestInFlight, sim.leader.adviceInFlight = false, 0
-	s.tasks[0].hasRun, s.tasks[1].hasRun = true, true
+	s.task(0).hasRun, s.task(1).hasRun = true, true
 	sim.leader.place(sim.now)
 	sim.execute(sim.leader)
 	assert.Equal(t, len(sim.adviceRequests), 2, "one request more in a pass that looks at the gang twice")
--- a/internal/coordination/dispatch/place.go
+++ b/internal/coordination/dispatch/place.go
@@ -152,8 +152,8 @@
 	}
 	before := p.searches
 	var r *ranking
-	for _, t := range s.tasks {
-		if !t.waiting || p.d.mayBeRunning(t) || t.awaitsCrashCommit() {
+	for t := range s.waitingTasks() {
+		if p.d.mayBeRunning(t.Task) || t.awaitsCrashCommit() {
 			continue
 		}
 		w := p.nextWorker(&r, t, route)
@@ -197,22 +197,21 @@
 
 // meetsConstraints checks the label and the per-worker limit of a task's step, but not its size.
 func (p *pass) meetsConstraints(t *task, w *worker) bool {
-	return t.step.meetsLabel(w) && t.belowWorkerLimit(w, 0)
+	return t.step.meetsLabel(w) && t.step.belowWorkerLimit(w, 0)
 }
 
 // meetsLabel reports whether a worker has the label that the step asks for, if it does.
 func (s *step) meetsLabel(w *worker) bool { return s.Label == "" || w.HasLabel(s.Label) }
 
-// belowWorkerLimit reports whether the per-worker limit of a task's step admits a further one on a worker, beside a number
-// of planned ones.
-func (t *task) belowWorkerLimit(w *worker, planned int) bool {
-	s := t.step
+// belowWorkerLimit reports whether the per-worker limit of a step admits a further task on a worker, beside a number of
+// planned ones.
+func (s *step) belowWorkerLimit(w *worker, planned int) bool {
 	if s.MaxPerWorker == 0 {
 		return true
 	}
 	here := planned
 	for _, r := range w.orderedRuns {
-		if r.Task.Job == t.Job && r.Task.Occurrence == t.Occurrence && r.Task.Step == t.Step {
+		if r.Task == s.keyOf(r.Task.Index) {
 			here++
 		}
 	}
--- a/internal/coordination/dispatch/rank.go
+++ b/internal/coordination/dispatch/rank.go
@@ -54,7 +54,7 @@
 		return c, noRoom
 	case !t.step.meetsLabel(w):
 		return c, wrongLabel
-	case t.step.BestEffort && !p.mayUseMemory(t, w) || !t.belowWorkerLimit(w, 0) || !p.hasPermit(t.step, w, route):
+	case t.step.BestEffort && !p.mayUseMemory(t, w) || !t.step.belowWorkerLimit(w, 0) || !p.hasPermit(t.step, w, route):
 		return c, barred
 	}
 	c = p.scoreWorker(t, w)
--- a/internal/coordination/dispatch/rank_test.go
+++ b/internal/coordination/dispatch/rank_test.go
@@ -26,7 +26,7 @@
 		d.AddJob(e.sim.now, j, nil, 1)
 		s := d.jobs[j.ID].occurrences[0].steps[0]
 		place(d.newPass(e.sim.now), s, d.routes.of(j.Queue))
-		for _, task := range s.tasks {
+		for task := range s.touchedTasks() {
 			for _, r := range task.runs {
 				placed[task.Task] = r.worker.ID
 			}
@@ -40,7 +40,7 @@
 func TestRankingPlacesLikeSingleChoices(t *testing.T) {
 	ranked := placeWide(t, func(p *pass, s *step, route job.Route) { p.placeStep(s, route) })
 	single := placeWide(t, func(p *pass, s *step, route job.Route) {
-		for _, task := range s.tasks {
+		for task := range s.waitingTasks() {
 			w := p.chooseWorker(task, route)
 			if w == nil {
 				return
--- a/internal/coordination/dispatch/recover.go
+++ b/internal/coordination/dispatch/recover.go
@@ -140,8 +140,8 @@
 }
 
 // mayBeRunning reports whether a task may be running, or may have ended, on a closed worker that is not accounted for.
-func (d *Dispatcher) mayBeRunning(t *task) bool {
-	_, possible := d.recovery.possiblyRunning[t.Task]
+func (d *Dispatcher) mayBeRunning(t job.Task) bool {
+	_, possible := d.recovery.possiblyRunning[t]
 	return possible
 }
 
--- a/internal/coordination/dispatch/reserve.go
+++ b/internal/coordination/dispatch/reserve.go
@@ -32,16 +32,16 @@
 
 // reserveWorkers keeps workers free for urgent tasks without room, which it gets by step: in this pass they take no other
 // tasks than best-effort ones. It reserves as many as the tasks need once the short tasks there have ended.
-func (p *pass) reserveWorkers(unplaced [][]*task) {
+func (p *pass) reserveWorkers(unplaced []unplacedStep) {
 	r := &reservations{
 		p: p, limit: max(minReservedWorkers, int(maxReservedShare*float64(len(p.d.sortedWorkers)))),
 		byFreeCPU: slices.Clone(p.d.sortedWorkers), room: make(map[*worker]model.Resources),
 	}
 	slices.SortStableFunc(r.byFreeCPU, func(a, b *worker) int { return cmp.Compare(b.free().CPUMillis, a.free().CPUMillis) })
-	for _, tasks := range unplaced {
+	for _, s := range unplaced {
 		workers, room := len(r.workers), maps.Clone(r.room)
 		// A gang that can't run whole needs no workers.
-		if possible := r.reserveForStep(tasks); !possible && tasks[0].step.Gang {
+		if possible := r.reserveForStep(s); !possible && s.Gang {
 			r.workers, r.room = r.workers[:workers], room
 		}
 	}
@@ -52,17 +52,17 @@
 
 // reserveForStep reserves workers for the urgent tasks of a step. It returns false if there is none for one of them though
 // more may be reserved.
-func (r *reservations) reserveForStep(tasks []*task) (possible bool) {
-	s, route := tasks[0].step, r.p.d.routes.of(tasks[0].owner.Queue)
+func (r *reservations) reserveForStep(unplaced unplacedStep) (possible bool) {
+	s, route := unplaced.step, r.p.d.routes.of(unplaced.owner.Queue)
 	size := sizeOf(s, route)
 	planned := make(map[*worker]int)
-	for _, t := range tasks {
-		w := r.reservedFor(t, size.size, planned)
+	for range unplaced.tasks {
+		w := r.reservedFor(s, size.size, planned)
 		if w == nil && len(r.workers) >= r.limit {
 			return true
 		}
 		if w == nil {
-			w = r.reserve(t, route, size, planned)
+			w = r.reserve(s, route, size, planned)
 		}
 		if w == nil {
 			return false
@@ -73,23 +73,23 @@
 	return true
 }
 
-// reservedFor returns a reserved worker that will have room for a task beside those that it is reserved for.
-func (r *reservations) reservedFor(t *task, size model.Resources, planned map[*worker]int) *worker {
+// reservedFor returns a reserved worker that will have room for a task of a step beside those that it is reserved for.
+func (r *reservations) reservedFor(s *step, size model.Resources, planned map[*worker]int) *worker {
 	for _, w := range r.workers {
-		if size.FitsIn(r.room[w]) && t.mayRunBeside(w, planned[w]) {
+		if size.FitsIn(r.room[w]) && s.mayRunBeside(w, planned[w]) {
 			return w
 		}
 	}
 	return nil
 }
 
-// reserve reserves the first worker that a task fits on beside the long-running tasks there, if there is one.
-func (r *reservations) reserve(t *task, route job.Route, size unplacedSize, planned map[*worker]int) *worker {
+// reserve reserves the first worker that a task of a step fits on beside the long-running tasks there, if there is one.
+func (r *reservations) reserve(s *step, route job.Route, size unplacedSize, planned map[*worker]int) *worker {
 	if r.unreservable.contain(size) {
 		return nil
 	}
 	for _, w := range r.byFreeCPU {
-		if _, reserved := r.room[w]; reserved || !r.p.acceptsStarts(w, route) || !t.mayRunBeside(w, planned[w]) ||
+		if _, reserved := r.room[w]; reserved || !r.p.acceptsStarts(w, route) || !s.mayRunBeside(w, planned[w]) ||
 			!size.size.FitsIn(w.roomForLongRunning()) {
 			continue
 		}
@@ -97,16 +97,16 @@
 		r.room[w] = w.roomForLongRunning()
 		return w
 	}
-	if t.step.Label == "" && t.step.MaxPerWorker == 0 && len(t.step.permits.denied) == 0 {
+	if s.Label == "" && s.MaxPerWorker == 0 && len(s.permits.denied) == 0 {
 		r.unreservable = append(r.unreservable, size)
 	}
 	return nil
 }
 
-// mayRunBeside reports whether a worker has the label and, as far as is known, the permit that a task needs, and takes
-// another task of its step beside those that are planned there.
-func (t *task) mayRunBeside(w *worker, planned int) bool {
-	return t.step.meetsLabel(w) && !t.step.permits.denied[w.workerBoot()] && t.belowWorkerLimit(w, planned)
+// mayRunBeside reports whether a worker has the label and, as far as is known, the permit that a step needs, and takes
+// another of its tasks beside those that are planned there.
+func (s *step) mayRunBeside(w *worker, planned int) bool {
+	return s.meetsLabel(w) && !s.permits.denied[w.workerBoot()] && s.belowWorkerLimit(w, planned)
 }
 
 // roomForLongRunning returns the capacity of a worker that its long-running tasks leave.
--- a/internal/coordination/dispatch/route.go
+++ b/internal/coordination/dispatch/route.go
@@ -86,8 +86,10 @@
 func (d *Dispatcher) failExhausted(j *jobState) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if !j.phase.Final() && slices.ContainsFunc(s.tasks, d.isExhausted) {
-				d.endJob(j, job.Failed)
+			for t := range s.touchedTasks() {
+				if !j.phase.Final() && d.isExhausted(t) {
+					d.endJob(j, job.Failed)
+				}
 			}
 		}
 	}
--- a/internal/coordination/dispatch/unrunnable_test.go
+++ b/internal/coordination/dispatch/unrunnable_test.go
@@ -263,10 +263,10 @@
 		p := d.newPass(sim.now)
 		route := d.routes.of("q")
 		other := addBestEffort(job.ID("other-"+name), change)
-		other.tasks[0].owner.workValue = maxJobValue
-		assert.Assert(t, p.chooseWorker(other.tasks[0], route) == nil)
+		other.task(0).owner.workValue = maxJobValue
+		assert.Assert(t, p.chooseWorker(other.task(0), route) == nil)
 		plain := addBestEffort(job.ID("plain-"+name), func(*job.Step) {})
-		assert.Assert(t, p.chooseWorker(plain.tasks[0], route) != nil, name)
+		assert.Assert(t, p.chooseWorker(plain.task(0), route) != nil, name)
 	}
 }
 
--- a/internal/coordination/dispatch/unstorable_test.go
+++ b/internal/coordination/dispatch/unstorable_test.go
@@ -59,7 +59,7 @@
 		}
 		return false
 	}
-	for _, stored := range sim.leader.jobs["a"].occurrences[0].steps[0].tasks {
+	for stored := range sim.leader.jobs["a"].occurrences[0].steps[0].touchedTasks() {
 		stored.checkpoint = "saved"
 	}
 	// The runs are lost with their leases, so that the checkpoints have to be stored.
--- a/internal/coordination/dispatch/urgent.go
+++ b/internal/coordination/dispatch/urgent.go
@@ -17,7 +17,7 @@
 
 // placeUrgent places urgent long-running tasks before all others, and reserves workers for those that find no room.
 func (p *pass) placeUrgent() {
-	var unplaced [][]*task
+	var unplaced []unplacedStep
 	for _, j := range p.d.openJobs {
 		if j.waiting == 0 || !j.LongRunning() || !p.d.mayPlace(j) {
 			continue
@@ -26,8 +26,8 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if s.LongRunning && s.ready() && p.d.unmetRequirement(s, route.Service) == fleetFits {
-					if tasks := p.placeUrgentTasks(s, route); len(tasks) > 0 {
-						unplaced = append(unplaced, tasks)
+					if tasks := p.placeUrgentTasks(s, route); tasks > 0 {
+						unplaced = append(unplaced, unplacedStep{s, tasks})
 					}
 				}
 			}
@@ -39,29 +39,57 @@
 	}
 }
 
-// placeUrgentTasks places the urgent tasks of a step and returns those that find no room. A gang is placed whole.
-func (p *pass) placeUrgentTasks(s *step, route job.Route) (unplaced []*task) {
-	for _, t := range s.tasks {
-		if !t.waiting || !p.isUrgent(t) || p.d.mayBeRunning(t) {
+// unplacedStep is a step with a number of urgent tasks that find no room.
+type unplacedStep struct {
+	*step
+	tasks int
+}
+
+// placeUrgentTasks places the urgent tasks of a step and returns the number of those that find no room. A gang is placed
+// whole.
+func (p *pass) placeUrgentTasks(s *step, route job.Route) (unplaced int) {
+	urgent := p.countUrgent(s)
+	if urgent == 0 {
+		return 0
+	}
+	if s.Gang {
+		if p.placeGang(s, route); s.waiting == 0 {
+			return 0
+		}
+		return s.Tasks
+	}
+	for t := range s.waitingTasks() {
+		if !p.isUrgent(t) || p.d.mayBeRunning(t.Task) {
 			continue
 		}
-		if s.Gang {
-			p.placeGang(s, route)
-			if len(t.runs) > 0 {
-				return nil
-			}
-			return s.tasks
+		w := p.chooseWorker(t, route)
+		if w == nil {
+			// The other tasks of the step have the same requirements.
+			return urgent
 		}
-		var w *worker
-		// The other tasks of the step have the same requirements.
-		if len(unplaced) == 0 {
-			w = p.chooseWorker(t, route)
+		p.start(t, w)
+		if urgent--; urgent == 0 {
+			break
 		}
-		if w != nil {
-			p.start(t, w)
-		} else {
-			unplaced = append(unplaced, t)
+	}
+	return 0
+}
+
+// countUrgent returns the number of urgent tasks of a step that could start.
+func (p *pass) countUrgent(s *step) int {
+	urgent := 0
+	for t := range s.touchedTasks() {
+		if t.waiting && p.isUrgent(t) && !p.d.mayBeRunning(t.Task) {
+			urgent++
+		}
+	}
+	if untouched := s.Tasks - len(s.tasks); untouched > 0 && p.isUrgent(s.newTask(len(s.tasks))) {
+		urgent += untouched
+		for t := range p.d.recovery.possiblyRunning {
+			if t == s.keyOf(t.Index) && t.Index >= len(s.tasks) && t.Index < s.Tasks {
+				urgent--
+			}
 		}
 	}
-	return unplaced
+	return urgent
 }
--- a/internal/state/job/job.go
+++ b/internal/state/job/job.go
@@ -134,7 +134,7 @@
 	return ""
 }
 
-// MaxTasksPerStep limits the tasks of one step, so that one job can't exhaust the memory of the leader.
+// MaxTasksPerStep limits the tasks of one step, which share one pass over them.
 const MaxTasksPerStep = 10_000
 
 // Task identifies one task of a job.
