Raise the fence of orders to a worker with each of its boots

One step of a leader releases all runs of a worker that is still running them.

Cause: a leader gave all orders to a worker one number, its epoch, and a boot that has seen no number takes any. An order to an earlier boot that the next one carries out holds a lease end on the earlier clock, which lies far ahead on the new one, so that its leases outlast the leader's bound. A start that the new boot answered before the leader had asked it was counted on the leases of the earlier boot, too.

Evidence: TestRestartedWorkersAreCutOff, with real processes, has the form of the users' record on (two tasks of one worker at one moment); 7212 with proof lease-ended for several runs at once, 7303 of the worker some seconds before.

Fix: once a leader learns of a restart, its orders to the worker carry the revision of its newest commit, above those of the orders to earlier boots and below the epoch of any successor. The worker gets starts and leases again after its answer to a hold with that number, and is stored with its new boot from then on. The clock in the answer to a start tells a boot that the leader has not heard of, which is asked at once. Runs with an unanswered copy of their start are not released by the leases of an earlier boot that the list says is gone; others there no longer wait 12 s. 7314 and 7315 are new.

Ruled out: waiting for the longest delay of an order and a lease after each restart (18 s, against 7 s for lost work); an epoch with a count in its low bits, under which entries of earlier releases could not lead.

--- a/internal/coordination/dispatch/action.go
+++ b/internal/coordination/dispatch/action.go
@@ -16,6 +16,9 @@
 	Worker  model.WorkerID
 	Address string
 	Epoch   model.Epoch
+	// Fence is the number that the order carries: from the first order that it gets, a worker refuses those with lower
+	// numbers. It is Epoch or, once the worker has restarted under this leader, a later revision of the store.
+	Fence model.Epoch
 	// Relay is the entry that carries the order to the worker; empty means the leader itself.
 	Relay model.EntryID
 }
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -170,10 +170,10 @@
 	w := sim.leader.workers["w00"]
 	w.holdInFlight, w.requestedWait = true, time.Second
 	inv := job.Inventory{Boot: w.Boot, Clock: w.clock}
-	sim.leader.HandleHold(sim.now, sim.now.Add(-3*time.Second), "w00", inv, job.OrderResponse{})
+	sim.leader.HandleHold(sim.now, sim.now.Add(-3*time.Second), sim.leader.targetOf(w), inv, job.OrderResponse{})
 	assert.Assert(t, !w.answeredPromptly)
 	w.holdInFlight = true
-	sim.leader.HandleHold(sim.now, sim.now.Add(-900*time.Millisecond), "w00", inv, job.OrderResponse{})
+	sim.leader.HandleHold(sim.now, sim.now.Add(-900*time.Millisecond), sim.leader.targetOf(w), inv, job.OrderResponse{})
 	assert.Assert(t, w.answeredPromptly)
 	h := Hold{Acknowledged: 3, DecidedAt: sim.now}
 	assert.Equal(t, h.AtSend(sim.now.Add(10*time.Millisecond)).Acknowledged, int64(3))
--- a/internal/coordination/dispatch/hold.go
+++ b/internal/coordination/dispatch/hold.go
@@ -45,6 +45,7 @@
 }
 
 func (d *Dispatcher) sendHold(now time.Time, w *worker) {
+	d.raiseFence(w)
 	h := Hold{Target: d.targetOf(w)}
 	// After an unanswered hold, or some time after the last answer, the worker may have restarted under its id. Its
 	// sequence numbers then start anew, and an acknowledgement would drop ends that no leader has seen.
@@ -68,7 +69,7 @@
 		}
 	}
 	w.holdInFlight, w.sentAcknowledgement, w.requestedWait = true, h.Acknowledged, h.Wait
-	w.holdAddress = h.Address
+	w.holdAddress, w.holdFence = h.Address, h.Fence
 	h.DecidedAt = now
 	d.emit(h)
 }
@@ -112,9 +113,11 @@
 }
 
 // HandleHold handles the response to a hold. sent is when the hold was sent.
-func (d *Dispatcher) HandleHold(now, sent time.Time, id model.WorkerID, inv job.Inventory, response job.OrderResponse) {
+func (d *Dispatcher) HandleHold(now, sent time.Time, target Target, inv job.Inventory, response job.OrderResponse) {
+	id := target.Worker
 	w, ok := d.workers[id]
-	if !ok || w.dead {
+	if !ok || w.dead || target.Fence != w.holdFence {
+		// A later hold with a higher fence has been sent.
 		return
 	}
 	if w.holdInFlight {
@@ -124,6 +127,8 @@
 	w.refused = response.NoListener
 	w.nextHold = now.Add(holdRetryInterval)
 	switch {
+	case response.Refusal == job.RefusedEpoch && w.holdFence < w.fence:
+		w.nextHold = now
 	case response.Refusal == job.RefusedEpoch:
 		d.emit(Deposed{Reason: "worker " + string(id) + " is fenced by a newer epoch"})
 	case response.Refusal == job.RefusedBoot:
@@ -146,7 +151,7 @@
 	} else {
 		w.deliveredAcknowledgement = max(w.deliveredAcknowledgement, w.sentAcknowledgement)
 	}
-	w.boot = inv.Boot
+	w.boot, w.answered = inv.Boot, true
 	w.knownAddress = w.holdAddress
 	if sent.After(w.claimedAt) {
 		w.claimedAt = time.Time{}
@@ -177,11 +182,15 @@
 	if w.lastProcessedEnd > processed {
 		d.recordUncovered(w)
 	}
-	d.reconcileRuns(now, sent, w, &inv)
-	d.stopStalled(now, w)
-	if !w.fenced {
+	if d.raiseFence(w); w.fenceOutdated {
+		// The holds go on at a slower pace until there is a commit.
+		w.nextHold = now.Add(holdRetryInterval)
+	}
+	if !w.fenced && !w.fenceOutdated && w.holdFence == w.fence {
 		d.markFenced(now, w, &inv)
 	}
+	d.reconcileRuns(now, sent, w, &inv)
+	d.stopStalled(now, w)
 	if !inv.MoreEnds {
 		d.markAccounted(w)
 	}
@@ -192,7 +201,8 @@
 	}
 }
 
-// markFenced handles the first answer of a worker under this epoch: it refuses earlier leaders from now on.
+// markFenced handles the first answer of a worker to an order with the present fence: it refuses earlier leaders, and orders
+// to its earlier boots, from now on.
 func (d *Dispatcher) markFenced(now time.Time, w *worker, inv *job.Inventory) {
 	// An earlier leader may have renewed the leases up to the moment at which the worker was fenced. On another boot than the
 	// one that it knew, its bounds mean nothing.
@@ -201,7 +211,7 @@
 		lease = min(lease, max(0, stretched(d.recovery.earlier.expiredAt().Sub(now))))
 	}
 	w.leaseEnd = max(w.leaseEnd, inv.Clock+lease)
-	w.fenced = true
+	w.fenced, w.fencedBoot = true, inv.Boot
 	if d.recovery.earlier.reached(now, w.ID, inv.Boot) {
 		d.logEvent(notice.LeasesBounded, Attr{Key: "epoch", Value: d.epoch},
 			Attr{Key: "leases", Value: d.recovery.earlier.expiredAt().Sub(now)},
@@ -238,7 +248,7 @@
 		}
 		// The inventory is conclusive only if its hold was sent after the worker confirmed the last order about the
 		// run.
-		if !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) {
+		if !r.confirmedAt.IsZero() && r.confirmedAt.Before(sent) && !d.mayStartLate(now, r) {
 			d.logEvent(notice.RunVanished, Attr{Key: "task", Value: r.Task.String()}, Attr{Key: "run", Value: r.Number},
 				Attr{Key: "worker", Value: w.ID})
 			d.releaseRun(now, r, w.missingRunCause(r))
--- a/internal/coordination/dispatch/order.go
+++ b/internal/coordination/dispatch/order.go
@@ -130,9 +130,16 @@
 }
 
 // HandleStart handles the response to a start.
-func (d *Dispatcher) HandleStart(now time.Time, id model.WorkerID, key job.Run, response job.OrderResponse) {
+func (d *Dispatcher) HandleStart(now time.Time, target Target, key job.Run, response job.OrderResponse) {
+	id := target.Worker
 	w, r := d.findRun(id, key)
 	w.hear(now, response)
+	if w != nil && !w.isOutdated(target) && d.isFromAnotherBoot(now, w, response) {
+		d.logEvent(notice.RestartSuspected, Attr{Key: "worker", Value: w.ID}, Attr{Key: "clock", Value: response.Clock},
+			Attr{Key: "expected", Value: w.clockNow(now)}, Attr{Key: "epoch", Value: d.epoch})
+		w.addUnanswered(now, key)
+		d.suspectRestart(now, w)
+	}
 	if r == nil || r.phase != starting {
 		return
 	}
@@ -156,7 +163,7 @@
 		if r.task != nil && r.task.step.BestEffort {
 			d.adjustPaces(now, w)
 		}
-	case response.Refusal == job.RefusedEpoch:
+	case response.Refusal == job.RefusedEpoch && !w.isOutdated(target):
 		d.emit(Deposed{Reason: "worker " + string(id) + " refused a start under this epoch"})
 	case response.Refusal == job.RefusedBoot && d.refusedByAnotherBoot(now, w, r.sentTo):
 	case response.Refusal == job.RefusedOldRun:
@@ -220,14 +227,15 @@
 }
 
 // HandleStop handles the response to a stop.
-func (d *Dispatcher) HandleStop(now time.Time, id model.WorkerID, key job.Run, response job.OrderResponse) {
+func (d *Dispatcher) HandleStop(now time.Time, target Target, key job.Run, response job.OrderResponse) {
+	id := target.Worker
 	w, r := d.findRun(id, key)
 	w.hear(now, response)
 	if r == nil || r.phase != stopping {
 		return
 	}
 	switch {
-	case response.Refusal == job.RefusedEpoch:
+	case response.Refusal == job.RefusedEpoch && !w.isOutdated(target):
 		d.emit(Deposed{Reason: "worker " + string(id) + " refused a stop under this epoch"})
 	case response.Refusal == job.RefusedBoot && d.refusedByAnotherBoot(now, w, r.sentTo):
 	case response.Err != nil || response.Refusal != job.RefusedNone:
--- a/internal/coordination/dispatch/recover_test.go
+++ b/internal/coordination/dispatch/recover_test.go
@@ -164,7 +164,7 @@
 	for i := range 4 {
 		run := job.Run{Task: job.Task{Job: "a", Index: i}, Number: 1}
 		response := sim.start(far, Start{
-			Target: Target{Worker: far.id, Epoch: far.epoch}, Run: run, LeaseEnd: far.clock(sim.now) + testMaxLease,
+			Target: Target{Worker: far.id, Epoch: far.epoch, Fence: far.epoch}, Run: run, LeaseEnd: far.clock(sim.now) + testMaxLease,
 		})
 		assert.Equal(t, response.Refusal, job.RefusedNone)
 	}
--- a/internal/coordination/dispatch/registry.go
+++ b/internal/coordination/dispatch/registry.go
@@ -41,9 +41,13 @@
 // updateOpen closes a worker at once, but opens it only if the stored registry has it, with its present boot, as open: a
 // worker that has restarted no longer refuses the orders of a leader that was replaced, and the commit shows that this one
 // was not. If the stored entry differs, the registry is written; that of a worker which is not accounted for can't change.
+// It names a boot only once that refuses orders to earlier ones, since a successor takes its leases for bounded.
 func (d *Dispatcher) updateOpen(w *worker) {
 	storedOpen := w.storedOpen && w.bootStored()
 	w.open = storedOpen && !w.closedToStarts()
+	if !storedOpen && w.boot != w.fencedBoot {
+		return
+	}
 	if w.inheritedEntry == nil && storedOpen == w.closedToStarts() && (!storedOpen || !d.registry.withoutRuns) {
 		d.registry.dirty = true
 	}
@@ -58,7 +62,7 @@
 	if w.inheritedEntry != nil {
 		return *w.inheritedEntry
 	}
-	r := job.RegisteredWorker{ID: w.ID, Address: w.knownAddress, Boot: w.boot, NoMoreStarts: w.closedToStarts()}
+	r := job.RegisteredWorker{ID: w.ID, Address: w.knownAddress, Boot: w.fencedBoot, NoMoreStarts: w.closedToStarts()}
 	if r.NoMoreStarts {
 		for _, run := range w.orderedRuns {
 			r.Runs = append(r.Runs, run.Task)
--- a/internal/coordination/dispatch/relay_test.go
+++ b/internal/coordination/dispatch/relay_test.go
@@ -84,14 +84,14 @@
 	first := f.holds(relaySettleTime)
 	assert.Equal(t, len(first["a"]), 10)
 	for _, h := range first["a"] {
-		f.d.HandleHold(f.now, f.now, h.Worker, job.Inventory{}, job.OrderResponse{Err: verdict.MayHaveRunError("lost", nil)})
+		f.d.HandleHold(f.now, f.now, h.Target, job.Inventory{}, job.OrderResponse{Err: verdict.MayHaveRunError("lost", nil)})
 	}
 	f.d.LoseRelay(f.now, "a")
 	assert.Equal(t, len(f.holds(10 * time.Millisecond)["b"]), 10, "holds at once through the other relay")
 
 	f.d.OfferRelay(Relay{Entry: "c", DataCentre: "dc1"})
 	unreachable := first["b"][0].Worker
-	f.d.HandleHold(f.now, f.now, unreachable, job.Inventory{}, job.OrderResponse{
+	f.d.HandleHold(f.now, f.now, first["b"][0].Target, job.Inventory{}, job.OrderResponse{
 		Err: verdict.MayHaveRunError("no answer", nil), FromRelay: true,
 	})
 	moved := f.holds(10 * time.Millisecond)
--- a/internal/coordination/dispatch/restart_test.go
+++ b/internal/coordination/dispatch/restart_test.go
@@ -68,7 +68,7 @@
 		for _, s := range sim.workers {
 			for run := range s.runs {
 				restarted = s
-				late = Start{Target: Target{Worker: s.id, Epoch: sim.leader.epoch}, Run: run, LeaseEnd: time.Hour}
+				late = Start{Target: Target{Worker: s.id, Epoch: sim.leader.epoch, Fence: sim.leader.epoch}, Run: run, LeaseEnd: time.Hour}
 			}
 		}
 		sim.advanceTime(time.Second)
@@ -95,8 +95,12 @@
 	s := sim.sortedWorkers()[0]
 	sim.restart(s)
 	w := sim.leader.workers[s.id]
-	for w.boot != s.boot {
+	for w.boot != s.boot || !w.fenced {
 		sim.advanceTime(10 * time.Millisecond)
+		if w.boot == s.boot && !w.fenced {
+			left := sim.leader.leasesExpiredOn(w).Sub(sim.now)
+			assert.Assert(t, left >= testMaxLease, "the leases end in %v, though orders to the former boot may come", left)
+		}
 	}
 	assert.Assert(t, w.leaseEnd >= w.clock+testMaxLease, "%v after the reading of its clock", w.leaseEnd-w.clock)
 }
--- a/internal/coordination/dispatch/simworker_test.go
+++ b/internal/coordination/dispatch/simworker_test.go
@@ -73,7 +73,7 @@
 
 func (sim *simulation) start(s *simWorker, o Start) job.OrderResponse {
 	clock := s.clock(sim.now)
-	if !s.acceptEpoch(o.Epoch) {
+	if !s.acceptEpoch(o.Fence) {
 		return job.OrderResponse{Refusal: job.RefusedEpoch, Clock: clock}
 	}
 	if _, here := s.runs[o.Run]; here {
@@ -106,7 +106,7 @@
 }
 
 func (sim *simulation) stop(s *simWorker, o Stop) job.OrderResponse {
-	if !s.acceptEpoch(o.Epoch) {
+	if !s.acceptEpoch(o.Fence) {
 		return job.OrderResponse{Refusal: job.RefusedEpoch}
 	}
 	s.highestRun[o.Run.Task] = max(s.highestRun[o.Run.Task], o.Run.Number)
@@ -121,7 +121,7 @@
 	sent := sim.now
 	finish := func(inv job.Inventory, a job.OrderResponse) {
 		if d == sim.leader {
-			d.HandleHold(sim.now, sent, h.Worker, inv, a)
+			d.HandleHold(sim.now, sent, h.Target, inv, a)
 			sim.advance(d)
 		}
 	}
@@ -153,7 +153,7 @@
 		sim.after(500*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Err: errNoResponse}) })
 		return
 	}
-	if !s.acceptEpoch(h.Epoch) {
+	if !s.acceptEpoch(h.Fence) {
 		sim.after(5*time.Millisecond, func() { finish(job.Inventory{}, job.OrderResponse{Refusal: job.RefusedEpoch}) })
 		return
 	}
--- a/internal/coordination/dispatch/worker.go
+++ b/internal/coordination/dispatch/worker.go
@@ -53,9 +53,11 @@
 	// boot is the boot that the worker itself has named; 0 before its first answer.
 	boot job.BootID
 	// knownAddress is where it has answered, or where an earlier leader knew it; empty before. holdAddress is where the last
-	// hold was sent.
+	// hold was sent, and holdFence its fence.
 	knownAddress, holdAddress string
-	// claimedBoot is a later boot that the list has named, at claimedAt; claimedAt is zero once the worker has answered since.
+	holdFence                 model.Epoch
+	// claimedAt is when a later boot seemed to be there; zero once the worker has answered since. claimedBoot is the boot, if
+	// the list has named it.
 	claimedBoot job.BootID
 	claimedAt   time.Time
 	// index is the place of the worker in sortedWorkers while the dispatcher's room is built.
@@ -71,8 +73,15 @@
 	// inheritedEntry is the worker's entry in the registry as an earlier leader wrote it. It is nil once the worker is
 	// accounted for.
 	inheritedEntry *job.RegisteredWorker
-	// fenced is set once the worker has answered under this epoch, so that it refuses orders of earlier leaders.
-	fenced bool
+	// fence is the number that orders to the worker carry. fenceOutdated means that orders to an earlier boot carry it, too.
+	fence         model.Epoch
+	fenceOutdated bool
+	// fenced is set once the worker has answered an order with the present fence, so that it refuses the orders of earlier
+	// leaders and those to its earlier boots. fencedBoot is the boot that did so last.
+	fenced     bool
+	fencedBoot job.BootID
+	// answered is set once the worker has answered this leader.
+	answered bool
 	// dead is set once nothing can run on the worker any more.
 	dead         bool
 	holdInFlight bool
@@ -151,13 +160,13 @@
 }
 
 func (d *Dispatcher) targetOf(w *worker) Target {
-	return Target{Worker: w.ID, Address: w.contactAddress(), Epoch: d.epoch, Relay: w.relay}
+	return Target{Worker: w.ID, Address: w.contactAddress(), Epoch: d.epoch, Fence: w.fence, Relay: w.relay}
 }
 
 // contactAddress returns where to reach a worker: where it answers, whatever the list says, and otherwise where it is
 // listed.
 func (w *worker) contactAddress() string {
-	if w.fenced && !w.unreachable && w.knownAddress != "" {
+	if w.answered && !w.unreachable && w.knownAddress != "" {
 		return w.knownAddress
 	}
 	return w.Address
@@ -232,9 +241,8 @@
 		return
 	}
 	if w.boot != 0 && info.Boot > w.boot && info.Boot != w.claimedBoot {
-		// The worker is asked at once.
-		w.claimedBoot, w.claimedAt, w.nextHold = info.Boot, now, now
-		d.recheckHolds()
+		w.claimedBoot = info.Boot
+		d.suspectRestart(now, w)
 	}
 	if info.Draining && !w.Draining {
 		d.logEvent(notice.WorkerDraining, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)})
@@ -260,7 +268,7 @@
 func (w *worker) mayRunSomething() bool { return w.inheritedEntry != nil || w.boot != 0 }
 
 func (d *Dispatcher) addWorker(id model.WorkerID, address string) *worker {
-	w := &worker{Worker: job.Worker{ID: id, Address: address}, runs: make(map[job.Run]*run)}
+	w := &worker{Worker: job.Worker{ID: id, Address: address}, fence: d.epoch, runs: make(map[job.Run]*run)}
 	d.workers[id] = w
 	d.withoutHold = append(d.withoutHold, w)
 	d.relays.changed = true
@@ -289,7 +297,7 @@
 	w.boot, w.lastProcessedEnd, w.lastCommittedEnd, w.sentAcknowledgement, w.deliveredAcknowledgement,
 		w.leaseEnd, w.heldUntil, w.clock = boot, 0, 0, 0, 0, 0, 0, 0
 	w.uncommittedEnds = nil
-	w.fenced, w.answeredPromptly, w.clockAt, w.restartedAt = false, false, now, now
+	w.fenced, w.fenceOutdated, w.answeredPromptly, w.clockAt, w.restartedAt = false, true, false, now, now
 }
 
 // markDead records that nothing can run on a worker any more, and releases its runs.
@@ -307,16 +315,21 @@
 // releaseRuns releases the runs of a worker that are proved gone though the worker has not said so.
 func (d *Dispatcher) releaseRuns(now time.Time, w *worker, proof string) {
 	for _, r := range slices.Clone(w.orderedRuns) {
-		if !w.provesCrash(proof) {
-			d.logEvent(notice.RunReleased, Attr{Key: "job", Value: r.Task.Job}, Attr{Key: "task", Value: r.Task.String()},
-				Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: w.ID}, Attr{Key: "proof", Value: proof},
-				Attr{Key: "epoch", Value: d.epoch})
-		}
-		d.releaseRun(now, r, proof)
+		d.releaseLost(now, r, proof)
 	}
 	d.passNeeded = true
 }
 
+// releaseLost releases a run that is proved gone though its worker has not said so.
+func (d *Dispatcher) releaseLost(now time.Time, r *run, proof string) {
+	if !r.worker.provesCrash(proof) {
+		d.logEvent(notice.RunReleased, Attr{Key: "job", Value: r.Task.Job}, Attr{Key: "task", Value: r.Task.String()},
+			Attr{Key: "run", Value: r.Number}, Attr{Key: "worker", Value: r.worker.ID}, Attr{Key: "proof", Value: proof},
+			Attr{Key: "epoch", Value: d.epoch})
+	}
+	d.releaseRun(now, r, proof)
+}
+
 // checkWorkers detects unreachable workers, releases their runs once it is proved that all leases have expired, and
 // removes dead workers.
 func (d *Dispatcher) checkWorkers(now time.Time) {
@@ -326,7 +339,7 @@
 			if !d.registered[w.ID] {
 				d.removeWorker(w)
 			}
-		case !w.fenced:
+		case !w.answered:
 			d.checkUnfenced(now, w)
 		case w.drained():
 			d.markDead(now, w, "empty")
@@ -341,43 +354,10 @@
 	}
 }
 
-// runsEndedBy returns when every run on an unreachable worker has certainly ended. A listed worker that may have restarted, as
-// the list says, may have carried out an order for its former boot, with a lease that ends later on its new clock.
-func (d *Dispatcher) runsEndedBy(w *worker) time.Time {
-	ended := w.leasesExpiredBy()
-	if w.claimedAt.IsZero() || !w.listed {
-		return ended
-	}
-	lease := time.Duration(float64(d.settings.MaxLease)*(1+clockSkew)) + leaseExpiryMargin
-	if restarted := w.claimedAt.Add(max(lease, maxOrderDelay)); restarted.After(ended) {
-		return restarted
-	}
-	return ended
-}
-
 // leaves reports whether a worker is leaving, or has left the list.
 func (w *worker) leaves() bool { return w.Draining || !w.listed }
 
 // drained reports whether a worker that is leaving runs nothing and has got the acknowledgements of all its ends.
 func (w *worker) drained() bool {
-	return w.leaves() && len(w.runs) == 0 && w.deliveredAcknowledgement == w.lastProcessedEnd
-}
-
-// checkLeases releases the runs of an unreachable worker once their leases have expired, and marks one that is no longer
-// listed as dead. This leader knows only the leases that it or an earlier leader has requested, so it must not have been
-// replaced before they expired: its successor, who may reach the worker, would have renewed them.
-func (d *Dispatcher) checkLeases(now time.Time, w *worker) {
-	ended := d.runsEndedBy(w)
-	pending := !w.listed || len(w.runs) > 0 || w.inheritedEntry != nil
-	if !pending || !now.After(ended) || !d.confirmedAfter(ended) {
-		return
-	}
-	if !w.listed {
-		d.markDead(now, w, proofLeaseEnded)
-		return
-	}
-	d.logEvent(notice.WorkerLeasesExpired, Attr{Key: "worker", Value: w.ID}, Attr{Key: "runs", Value: len(w.runs)},
-		Attr{Key: "unconfirmed", Value: now.Sub(ended)}, Attr{Key: "epoch", Value: d.epoch})
-	d.releaseRuns(now, w, proofLeaseEnded)
-	d.accountWithoutAnswer(now, w, proofLeaseEnded)
+	return w.fenced && w.leaves() && len(w.runs) == 0 && w.deliveredAcknowledgement == w.lastProcessedEnd
 }
--- a/internal/coordination/dispatch/world_test.go
+++ b/internal/coordination/dispatch/world_test.go
@@ -241,12 +241,12 @@
 		case Start:
 			sim.sendOrder(d, a.Target, func(s *simWorker) job.OrderResponse { return sim.start(s, a) },
 				func(response job.OrderResponse) {
-					d.HandleStart(sim.now, a.Worker, a.Run, response)
+					d.HandleStart(sim.now, a.Target, a.Run, response)
 				})
 		case Stop:
 			sim.sendOrder(d, a.Target, func(s *simWorker) job.OrderResponse { return sim.stop(s, a) },
 				func(response job.OrderResponse) {
-					d.HandleStop(sim.now, a.Worker, a.Run, response)
+					d.HandleStop(sim.now, a.Target, a.Run, response)
 				})
 		case Pace:
 			sim.after(5*time.Millisecond, func() {
--- a/internal/coordination/scheduler/answer.go
+++ b/internal/coordination/scheduler/answer.go
@@ -19,7 +19,7 @@
 
 func (ev HoldDone) apply(c *Core, now time.Time) {
 	if d := c.dispatcherFor(ev.Target.Epoch); d != nil {
-		d.HandleHold(now, ev.Sent, ev.Target.Worker, ev.Inventory, ev.Response)
+		d.HandleHold(now, ev.Sent, ev.Target, ev.Inventory, ev.Response)
 	}
 }
 
@@ -27,11 +27,11 @@
 	switch o := ev.Order.(type) {
 	case dispatch.Start:
 		if d := c.dispatcherFor(o.Epoch); d != nil {
-			d.HandleStart(now, o.Worker, o.Run, ev.Response)
+			d.HandleStart(now, o.Target, o.Run, ev.Response)
 		}
 	case dispatch.Stop:
 		if d := c.dispatcherFor(o.Epoch); d != nil {
-			d.HandleStop(now, o.Worker, o.Run, ev.Response)
+			d.HandleStop(now, o.Target, o.Run, ev.Response)
 		}
 	case dispatch.Pace:
 		if d := c.dispatcherFor(o.Epoch); d != nil {
--- a/internal/coordination/scheduler/fleetrun_test.go
+++ b/internal/coordination/scheduler/fleetrun_test.go
@@ -24,13 +24,17 @@
 // earlier boot.
 func TestNoTaskRunsTwiceThroughOrdersToAnEarlierBoot(t *testing.T) { runFleets(t, true) }
 
-// runFleets runs the simulation with all seeds, and fails for the violations that come from orders to an earlier boot, or for
-// all others.
-func runFleets(t *testing.T, strayed bool) {
-	var first, last uint64
+func fleetSeedRange(t *testing.T) (first, last uint64) {
 	if n, err := fmt.Sscanf(*fleetSeeds, "%d-%d", &first, &last); n != 2 {
 		t.Fatalf("-fleet.seeds: %v", err)
 	}
+	return first, last
+}
+
+// runFleets runs the simulation with all seeds, and fails for the violations that come from orders to an earlier boot, or for
+// all others.
+func runFleets(t *testing.T, strayed bool) {
+	first, last := fleetSeedRange(t)
 	starts, elections, broken := 0, 0, 0
 	for seed := first; seed <= last; seed++ {
 		f := newFleet(seed)
--- a/internal/coordination/scheduler/fleetworker_test.go
+++ b/internal/coordination/scheduler/fleetworker_test.go
@@ -248,7 +248,7 @@
 	if p.f.hasRareFault() {
 		return refuse(job.RefusedUnhealthy)
 	}
-	if !p.acceptEpoch(o.Epoch) {
+	if !p.acceptEpoch(o.Fence) {
 		return refuse(job.RefusedEpoch)
 	}
 	if p.runs[o.Run] != nil {
@@ -303,7 +303,7 @@
 
 func (p *workerProcess) stopRun(o dispatch.Stop) job.OrderResponse {
 	response := job.OrderResponse{Clock: p.clock()}
-	if !p.acceptEpoch(o.Epoch) {
+	if !p.acceptEpoch(o.Fence) {
 		response.Refusal = job.RefusedEpoch
 		return response
 	}
@@ -318,14 +318,14 @@
 
 func (p *workerProcess) setPace(o dispatch.Pace) job.OrderResponse {
 	response := job.OrderResponse{Clock: p.clock()}
-	if !p.acceptEpoch(o.Epoch) {
+	if !p.acceptEpoch(o.Fence) {
 		response.Refusal = job.RefusedEpoch
 	}
 	return response
 }
 
 func (p *workerProcess) hold(h dispatch.Hold, answer func(workerAnswer)) {
-	if !p.acceptEpoch(h.Epoch) {
+	if !p.acceptEpoch(h.Fence) {
 		answer(workerAnswer{response: job.OrderResponse{Refusal: job.RefusedEpoch, Clock: p.clock()}})
 		return
 	}
--- a/internal/protocol/relaybatch/relaybatch.go
+++ b/internal/protocol/relaybatch/relaybatch.go
@@ -30,10 +30,12 @@
 	payloads map[string]uint32
 }
 
-// workerKey identifies a worker at an address.
+// workerKey identifies a worker at an address, and the fence of the orders to it. A worker is introduced anew when one of
+// them changes.
 type workerKey struct {
 	id      model.WorkerID
 	address string
+	fence   model.Epoch
 }
 
 // Begin begins a batch.
@@ -69,7 +71,7 @@
 }
 
 func (w *Writer) introduce(batch *jobspb.FollowResponse, target dispatch.Target) uint32 {
-	key := workerKey{target.Worker, target.Address}
+	key := workerKey{target.Worker, target.Address, target.Fence}
 	number, known := w.workers[key]
 	if !known {
 		if w.workers == nil {
@@ -78,7 +80,7 @@
 		number = uint32(len(w.workers))
 		w.workers[key] = number
 		batch.Workers = append(batch.Workers, &jobspb.Worker{
-			Number: number, Id: string(target.Worker), Address: target.Address,
+			Number: number, Id: string(target.Worker), Address: target.Address, Fence: uint64(target.Fence),
 		})
 	}
 	return number
@@ -113,7 +115,7 @@
 		r.workers = make(map[uint32]workerKey)
 	}
 	for _, w := range batch.GetWorkers() {
-		r.workers[w.GetNumber()] = workerKey{model.WorkerID(w.GetId()), w.GetAddress()}
+		r.workers[w.GetNumber()] = workerKey{model.WorkerID(w.GetId()), w.GetAddress(), model.Epoch(w.GetFence())}
 	}
 	orders := make([]Order, 0, len(batch.GetOrders()))
 	for _, m := range batch.GetOrders() {
@@ -129,7 +131,10 @@
 	if !known || key.id == "" || key.address == "" {
 		return nil, errors.Annotatef(ErrMalformedOrder, "worker %d", m.GetWorker())
 	}
-	target := dispatch.Target{Worker: key.id, Address: key.address, Epoch: model.Epoch(batch.GetEpoch())}
+	target := dispatch.Target{Worker: key.id, Address: key.address, Epoch: model.Epoch(batch.GetEpoch()), Fence: key.fence}
+	if target.Fence == 0 {
+		target.Fence = target.Epoch
+	}
 	switch kind := m.GetKind().(type) {
 	case *jobspb.Order_Hold:
 		return dispatch.Hold{
--- a/internal/protocol/relaybatch/relaybatch_test.go
+++ b/internal/protocol/relaybatch/relaybatch_test.go
@@ -17,7 +17,7 @@
 // Guards against an order that reaches a worker with another meaning, worker or payload than the leader gave it.
 func TestOrdersRoundTrip(t *testing.T) {
 	target := func(worker string) dispatch.Target {
-		return dispatch.Target{Worker: model.WorkerID(worker), Address: "addr-" + worker, Epoch: 7}
+		return dispatch.Target{Worker: model.WorkerID(worker), Address: "addr-" + worker, Epoch: 7, Fence: 7}
 	}
 	run := job.Run{Task: job.Task{Job: "j", Occurrence: 1, Step: 2, Index: 3}, Number: 1 << 40}
 	orders := []dispatch.Action{
@@ -52,6 +52,23 @@
 	}
 }
 
+// Guards against an order that a worker refuses, or carries out for an earlier boot, because a relay keeps to the fence from
+// before the worker's restart, and against orders of earlier releases, which name none, without one.
+func TestOrdersCarryTheFenceOfTheirWorker(t *testing.T) {
+	var writer Writer
+	var reader Reader
+	for _, c := range []struct{ fence, want model.Epoch }{{7, 7}, {31, 31}, {0, 7}} {
+		response := &jobspb.FollowResponse{Epoch: 7}
+		writer.Begin()
+		writer.Add(response, 1, dispatch.Stop{Target: dispatch.Target{Worker: "w", Address: "a", Epoch: 7, Fence: c.fence}}, 0)
+		orders := reader.Read(response)
+		assert.Equal(t, len(orders), 1)
+		target, ok := dispatch.TargetOf(orders[0].Action)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, target, dispatch.Target{Worker: "w", Address: "a", Epoch: 7, Fence: c.want})
+	}
+}
+
 // Guards against a lost response that is taken for a refusal, after which the order would be sent again elsewhere.
 func TestResultsKeepTheirVerdict(t *testing.T) {
 	for _, r := range []job.OrderResponse{
--- a/internal/state/notice/notice.go
+++ b/internal/state/notice/notice.go
@@ -103,6 +103,8 @@
 	RelayFollowing      Code = 7310
 	RelayStopped        Code = 7311
 	WorkerAccounted     Code = 7312
+	FenceRaised         Code = 7314
+	RestartSuspected    Code = 7315
 	DependencyLost      Code = 7401
 	DependencyRecovered Code = 7402
 	SettingsReloaded    Code = 7403
@@ -193,6 +195,8 @@
 	WorkerFirstResponse: {"worker-held", Info, "a worker responded to the leader for the first time in this epoch"},
 	WorkerDraining:      {"worker-draining", Info, "a worker is draining and gets no new tasks"},
 	WorkerRestarted:     {"worker-reborn", Warn, "a worker restarted; its tasks are rescheduled"},
+	RestartSuspected:    {"restart-suspected", Warn, "a worker carried a start out whose clock is not the one that it answered with last"},
+	FenceRaised:         {"fence-raised", Info, "orders to a worker that restarted carry a higher number"},
 	WorkerGone:          {"worker-gone", Info, "a worker is gone; no task can run on it any more"},
 	WorkerUnreachable:   {"worker-unreachable", Warn, "a worker does not respond and gets no new tasks"},
 	WorkerReachable:     {"worker-reachable", Info, "a worker responds again"},
