Bound the leases of a fenced boot though the list names another

A worker whose last boot was fenced, and which is out of reach when the list names a further boot, was taken for one that had just restarted: its runs were held for 12 s and a whole lease after its last restart, in place of the leases of the boot that the leader knows. Found by reading the change of the fence; TestLeasesOfAFencedBootEndThoughAnotherIsListed fails before, with 15.2 s.

--- a/internal/coordination/dispatch/fence.go
+++ b/internal/coordination/dispatch/fence.go
@@ -91,7 +91,7 @@
 // carried out later. A boot that does not refuse the orders to earlier ones may get a whole lease from each of them.
 func (d *Dispatcher) leasesExpiredOn(w *worker) time.Time {
 	ended := w.leasesExpiredBy()
-	if w.fenced {
+	if w.boot == w.fencedBoot {
 		return ended
 	}
 	if late := w.restartedAt.Add(maxOrderDelay + d.wholeLease()); late.After(ended) {
@@ -144,7 +144,7 @@
 	}
 }
 
-// leasesExpired handles an unreachable worker on which no run is left.
+// leasesExpired handles an unreachable worker all of whose runs have ended.
 func (d *Dispatcher) leasesExpired(now time.Time, w *worker, ended time.Time) {
 	if !w.listed {
 		d.markDead(now, w, proofLeaseEnded)
--- a/internal/coordination/dispatch/fence_test.go
+++ b/internal/coordination/dispatch/fence_test.go
@@ -162,3 +162,25 @@
 	}
 	assert.Assert(t, sim.now.Sub(began) >= maxOrderDelay+testMaxLease, "released after %v", sim.now.Sub(began))
 }
+
+// Guards against lost work that waits as if its worker had just restarted, because the list names a further boot of a worker
+// whose last one was fenced.
+func TestLeasesOfAFencedBootEndThoughAnotherIsListed(t *testing.T) {
+	sim, s, w := restarted(t)
+	s.outcome = func(job.Run) (job.EndKind, time.Duration) { return job.EndDone, time.Hour }
+	sim.sortedWorkers()[1].unreachable = true
+	sim.advanceTime(2500 * time.Millisecond)
+	sim.submit(plainJob("a", 1))
+	sim.advanceTime(time.Second)
+	assert.Equal(t, len(w.orderedRuns), 1)
+	began := sim.now
+	sim.restart(s)
+	s.unreachable = true
+	sim.listWorkers()
+	sim.advance(sim.leader)
+	assert.Assert(t, !w.fenced && w.boot == w.fencedBoot)
+	for len(w.orderedRuns) > 0 {
+		sim.advanceTime(50 * time.Millisecond)
+	}
+	assert.Assert(t, sim.now.Sub(began) < testMaxLease+2*time.Second, "released after %v", sim.now.Sub(began))
+}
