--- a/internal/coordination/scheduler/guard_test.go
+++ b/internal/coordination/scheduler/guard_test.go
@@ -59,7 +59,7 @@
 		c.leadership.dispatcher = d
 		c.Step(now, WorkersRead{Complete: true, Workers: []job.Worker{{ID: "w", Address: "a", Service: "s", Boot: 1}}})
 		orders := 0
-		for _, a := range c.Step(now.Add(pause), HoldDone{Target: dispatch.Target{Worker: "w", Epoch: 5}}) {
+		for _, a := range c.Step(now.Add(pause), HoldDone{Target: dispatch.Target{Worker: "w", Epoch: 5, Fence: 5}}) {
 			if _, ok := a.(Dispatch); ok {
 				orders++
 			}
